--- /dev/null
+++ b/catalog/replica.go
@@ -0,0 +1,30 @@
+package catalog
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// ReplicaID names one life of a replica.
+type ReplicaID string
+
+// Replica is one registered life of a replica.
+type Replica struct {
+	ID      ReplicaID
+	Service graniteknot.Service
+	Address graniteknot.Address
+	Zone    graniteknot.AvailabilityZone
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Draining replicas get no new work.
+	Draining bool
+	// Warmup is how much longer it stays slow, counted from its start.
+	Warmup time.Duration
+	// Group is the lock-step group that the replica is a rank of, empty for
+	// none; Rank is its place there.
+	Group string
+	Rank  graniteknot.Rank
+	// GroupSize is how many ranks the group has.
+	GroupSize int
+}
--- /dev/null
+++ b/catalog/tree.go
@@ -0,0 +1,117 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// Version numbers the trees of a deployment; it only grows.
+type Version int64
+
+// Account is a client account.
+type Account struct {
+	Name graniteknot.Account
+	// Urgency replaces the route's when HasUrgency is set.
+	Urgency    Urgency
+	HasUrgency bool
+}
+
+// Tree is one version of the configuration. It never changes once made.
+type Tree struct {
+	Version Version
+	Limits  Limits
+	// Tenanted trees demand a key on all routes that are not public.
+	Tenanted bool
+
+	services map[graniteknot.Service]*Service
+	// routes holds each host's routes, longest prefix first.
+	routes   map[string][]*Route
+	accounts map[Secret]*Account
+}
+
+// Secret is a key that proves an account. It is never logged.
+type Secret string
+
+// Parts are what a tree is made of.
+type Parts struct {
+	Version  Version
+	Limits   Limits
+	Tenanted bool
+	Services []*Service
+	Routes   []*Route
+	Accounts map[Secret]*Account
+}
+
+// NewTree checks the parts and makes a tree of them.
+func NewTree(p Parts) (*Tree, error) {
+	t := &Tree{
+		Version: p.Version, Limits: p.Limits, Tenanted: p.Tenanted, accounts: p.Accounts,
+		services: make(map[graniteknot.Service]*Service, len(p.Services)), routes: map[string][]*Route{},
+	}
+	for _, s := range p.Services {
+		t.services[s.Name] = s
+	}
+	for _, r := range p.Routes {
+		if err := t.check(r); err != nil {
+			return nil, &Error{Op: "new tree", Kind: KindInvalid, Err: err}
+		}
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, list := range t.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+func (t *Tree) check(r *Route) error {
+	if len(r.Shares) == 0 {
+		return fmt.Errorf("route %q: no service", r.Name)
+	}
+	for _, s := range r.Shares {
+		if t.services[s.Service] == nil {
+			return fmt.Errorf("route %q: unknown service %q", r.Name, s.Service)
+		}
+	}
+	return nil
+}
+
+// Route finds the route of a host and path; nil when there is none.
+func (t *Tree) Route(host, path string) *Route {
+	for _, r := range t.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasHost tells whether any route belongs to the host.
+func (t *Tree) HasHost(host string) bool { return len(t.routes[strings.ToLower(host)]) > 0 }
+
+// Service finds a service; nil when there is none.
+func (t *Tree) Service(name graniteknot.Service) *Service { return t.services[name] }
+
+// Services returns all services, in no order.
+func (t *Tree) Services() []*Service {
+	out := make([]*Service, 0, len(t.services))
+	for _, s := range t.services {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Account finds the account that a key proves; nil when there is none.
+func (t *Tree) Account(key Secret) *Account { return t.accounts[key] }
+
+// RouteCount returns how many routes the tree has, for logs.
+func (t *Tree) RouteCount() int {
+	n := 0
+	for _, list := range t.routes {
+		n += len(list)
+	}
+	return n
+}
--- a/claim/ways_bench_test.go
+++ b/claim/ways_bench_test.go
@@ -12,7 +12,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/claim"
-	"graniteknot.org/go/internal/core/platform"
+	"graniteknot.org/go/internal/core/services"
 	"graniteknot.org/go/internal/standin/logstore"
 )
 
@@ -37,7 +37,7 @@
 	const perSecond = 1000
 	server := httptest.NewServer((&logstore.Store{}).Handler())
 	defer server.Close()
-	log := platform.NewLog(graniteknot.Address(strings.TrimPrefix(server.URL, "http://")))
+	log := services.NewLog(graniteknot.Address(strings.TrimPrefix(server.URL, "http://")))
 	ctx := context.Background()
 	var times []time.Duration
 	claims, read := 0, 0
--- /dev/null
+++ b/cmd/graniteknot/cmd/gateway.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"graniteknot.org/go/internal/core/directapp"
+	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/platform"
+)
+
+// stopMargin is added to a planned stop's own bound before fx gives it up.
+const stopMargin = time.Second
+
+func registerGateway(app *kingpin.Application, commands registry) {
+	registerDirect(app, commands, directconf.RoleGateway,
+		"Run on an entry box of the users' platform: take callers' requests straight to targets.")
+}
+
+// registerDirect adds the command of a role that works straight on targets.
+func registerDirect(app *kingpin.Application, commands registry, role directconf.Role, help string) {
+	clause := app.Command(string(role), help)
+	file := clause.Flag("config", "INI file with the settings of this process.").
+		Envar(platform.SettingsVariable).Required().String()
+	commands[clause.FullCommand()] = func(ctx context.Context, c console) error {
+		return runDirect(ctx, *file, role, c)
+	}
+}
+
+func runDirect(ctx context.Context, file string, role directconf.Role, c console) error {
+	config, err := directconf.Load(file)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	config.Role = role
+	p, err := directapp.New(directapp.Parts{
+		Config: config, Store: platform.NewStore(config.Store), Translator: platform.Dialect{},
+		Lines: eventlog.NewWriter(c.out),
+	})
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	if err := p.Start(ctx); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(ctx, config.Stop+stopMargin)
+	defer cancel()
+	return p.Stop(ctx)
+}
--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -86,6 +86,7 @@
 func register(app *kingpin.Application, commands registry) {
 	registerEntry(app, commands)
 	registerAgent(app, commands)
+	registerGateway(app, commands)
 	registerDev(app, commands)
 	registerSettings(app, commands)
 	registerAddresses(app, commands)
--- a/cmd/graniteknot/cmd/settings_publish.go
+++ b/cmd/graniteknot/cmd/settings_publish.go
@@ -15,8 +15,8 @@
 	"graniteknot.org/go/fold"
 	"graniteknot.org/go/internal/core/inspect"
 	"graniteknot.org/go/internal/core/link"
-	"graniteknot.org/go/internal/core/platform"
 	"graniteknot.org/go/internal/core/publish"
+	"graniteknot.org/go/internal/core/services"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	return &publish.Publisher{
-		Log: platform.NewLog(graniteknot.Address(f.log.log)), Trust: trust,
+		Log: services.NewLog(graniteknot.Address(f.log.log)), Trust: trust,
 		Partner: graniteknot.Partner(f.partner), Key: key,
 	}, nil
 }
--- a/cmd/graniteknot/cmd/settings_show.go
+++ b/cmd/graniteknot/cmd/settings_show.go
@@ -10,7 +10,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/fold"
-	"graniteknot.org/go/internal/core/platform"
+	"graniteknot.org/go/internal/core/services"
 	"graniteknot.org/go/settings"
 )
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log := platform.NewLog(graniteknot.Address(f.log))
+	log := services.NewLog(graniteknot.Address(f.log))
 	state := fold.New(trust)
 	for {
 		page, err := log.Read(ctx, graniteknot.SettingsStream, state.Offset()+1, batch)
--- a/internal/core/app/app.go
+++ b/internal/core/app/app.go
@@ -14,8 +14,8 @@
 	"graniteknot.org/go/internal/core/entry"
 	"graniteknot.org/go/internal/core/link"
 	"graniteknot.org/go/internal/core/node"
-	"graniteknot.org/go/internal/core/platform"
 	"graniteknot.org/go/internal/core/procconf"
+	"graniteknot.org/go/internal/core/services"
 	"graniteknot.org/go/internal/core/target"
 	"graniteknot.org/go/member"
 )
@@ -91,13 +91,13 @@
 // opener holds the listener that the process was given, if any.
 type opener struct{ listener net.Listener }
 
-func newLog(c *procconf.Config) graniteknot.Log { return platform.NewLog(c.Log) }
+func newLog(c *procconf.Config) graniteknot.Log { return services.NewLog(c.Log) }
 
 func newBoxes(c *procconf.Config) graniteknot.BoxList {
 	if c.Boxes == "" {
 		return nil
 	}
-	return platform.NewBoxList(c.Boxes)
+	return services.NewBoxList(c.Boxes)
 }
 
 func newTarget(c *procconf.Config) graniteknot.Target {
--- /dev/null
+++ b/internal/core/conns/error.go
@@ -0,0 +1,24 @@
+package conns
+
+import graniteknot "graniteknot.org/go"
+
+// Kind tells what is known about a request after an error.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindUnsent proves that no byte of the request was sent.
+	KindUnsent Kind = "not sent"
+	// KindFull proves the same: too many connections are open.
+	KindFull Kind = "too many connections"
+	// KindLost means that the request may have run.
+	KindLost Kind = "answer lost"
+	// KindSpoiled means that what came back is no answer to the request.
+	KindSpoiled Kind = "answer spoiled"
+)
+
+// String implements fmt.Stringer.
+func (k Kind) String() string { return string(k) }
+
+// Error is this package's error type.
+type Error = graniteknot.Failure[Kind]
--- /dev/null
+++ b/internal/core/conns/pool.go
@@ -0,0 +1,222 @@
+package conns
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+const (
+	// connectTime bounds the opening of a connection. It is more than the way
+	// between availability zones and a busy target need, and less than what a
+	// caller waits for.
+	connectTime = 700 * time.Millisecond
+	// silentTime is how long sent bytes may stay unacknowledged before the
+	// connection is given up.
+	silentTime = 2500 * time.Millisecond
+	// probeIdle, probeEvery and probeCount are TCP's keep-alive probes, which
+	// find a target that fell silent in the middle of an answer.
+	probeIdle  = 2 * time.Second
+	probeEvery = time.Second
+	probeCount = 2
+	// idleMargin is how long before the replica's own bound an idle connection
+	// is not used any more.
+	idleMargin = time.Second
+	// idleDefault is used where the replica tells no bound.
+	idleDefault = 4 * time.Second
+	// tcpUserTimeout is Linux's TCP_USER_TIMEOUT, which package syscall lacks.
+	tcpUserTimeout = 0x12
+)
+
+// Pool keeps the connections to all replicas. The zero value works.
+type Pool struct {
+	mu    sync.Mutex
+	hosts map[graniteknot.Address]*host
+	// opened counts the connections opened.
+	opened uint64
+}
+
+// host is one address.
+type host struct {
+	// idle holds the connections that wait, the most recently used last.
+	idle []*Conn
+	// open counts all connections, those being opened included.
+	open int
+}
+
+// Get returns an idle connection or opens one, if fewer than limit are open; a
+// limit of 0 is no limit.
+func (p *Pool) Get(ctx context.Context, a graniteknot.Address, limit int) (*Conn, error) {
+	for {
+		c, open := p.take(a, limit)
+		if c == nil && !open {
+			return nil, &Error{Op: "connect", Kind: KindFull}
+		}
+		if open {
+			return p.dial(ctx, a)
+		}
+		if c.usable(time.Now()) {
+			return c, nil
+		}
+		p.drop(a, c)
+	}
+}
+
+// take returns an idle connection, or counts one that is to be opened.
+func (p *Pool) take(a graniteknot.Address, limit int) (c *Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hosts == nil {
+		p.hosts = map[graniteknot.Address]*host{}
+	}
+	h := p.hosts[a]
+	if h == nil {
+		h = &host{}
+		p.hosts[a] = h
+	}
+	if n := len(h.idle); n > 0 {
+		c = h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		return c, false
+	}
+	if limit > 0 && h.open >= limit {
+		return nil, false
+	}
+	h.open++
+	p.opened++
+	return nil, true
+}
+
+func (c *Conn) usable(now time.Time) bool {
+	bound := c.idleBound - idleMargin
+	if c.idleBound == 0 {
+		bound = idleDefault
+	}
+	return now.Sub(c.idleSince) < bound && c.clean()
+}
+
+func (p *Pool) dial(ctx context.Context, a graniteknot.Address) (*Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         connectTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failed error
+			err := raw.Control(func(fd uintptr) {
+				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentTime.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", string(a))
+	if err != nil {
+		p.forget(a)
+		return nil, &Error{Op: "connect", Kind: KindUnsent, Err: err}
+	}
+	return &Conn{net: conn, reader: bufio.NewReaderSize(conn, readBuffer), fresh: true}, nil
+}
+
+// Put gives a connection back after its answer was read to the end.
+func (p *Pool) Put(a graniteknot.Address, c *Conn) {
+	if c.spoiled || c.reader.Buffered() > 0 {
+		p.drop(a, c)
+		return
+	}
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[a]
+	if h == nil {
+		// The pool was closed.
+		c.Close()
+		return
+	}
+	h.idle = append(h.idle, c)
+}
+
+// Drop closes a connection in the middle of a request.
+func (p *Pool) Drop(a graniteknot.Address, c *Conn) { p.drop(a, c) }
+
+func (p *Pool) drop(a graniteknot.Address, c *Conn) {
+	c.Close()
+	p.forget(a)
+}
+
+// forget counts a connection less.
+func (p *Pool) forget(a graniteknot.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[a]
+	if h == nil {
+		// The pool was closed.
+		return
+	}
+	h.open--
+	if h.open == 0 {
+		delete(p.hosts, a)
+	}
+}
+
+// Sweep closes idle connections that are not usable any more.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	for a, c := range p.stale(now) {
+		p.drop(a, c)
+	}
+}
+
+// stale takes out the idle connections that are not usable any more.
+func (p *Pool) stale(now time.Time) func(yield func(graniteknot.Address, *Conn) bool) {
+	type found struct {
+		address graniteknot.Address
+		conn    *Conn
+	}
+	var out []found
+	p.mu.Lock()
+	for a, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if c.usable(now) {
+				kept = append(kept, c)
+				continue
+			}
+			out = append(out, found{a, c})
+		}
+		h.idle = kept
+	}
+	p.mu.Unlock()
+	return func(yield func(graniteknot.Address, *Conn) bool) {
+		for _, f := range out {
+			if !yield(f.address, f.conn) {
+				return
+			}
+		}
+	}
+}
+
+// Opened counts the connections opened.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	hosts := p.hosts
+	p.hosts = nil
+	p.mu.Unlock()
+	for _, h := range hosts {
+		for _, c := range h.idle {
+			c.Close()
+		}
+	}
+}
--- a/internal/core/dev/settings.go
+++ b/internal/core/dev/settings.go
@@ -10,8 +10,8 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/fold"
 	"graniteknot.org/go/internal/core/app"
-	"graniteknot.org/go/internal/core/platform"
 	"graniteknot.org/go/internal/core/publish"
+	"graniteknot.org/go/internal/core/services"
 	"graniteknot.org/go/internal/standin/engine"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/settings"
@@ -42,7 +42,7 @@
 	for _, each := range c.Partners {
 		trust.Add(each.Name, each.Public)
 	}
-	publisher := &publish.Publisher{Log: platform.NewLog(c.logAt), Trust: trust, Partner: p.Name, Key: p.Private}
+	publisher := &publish.Publisher{Log: services.NewLog(c.logAt), Trust: trust, Partner: p.Name, Key: p.Private}
 	change := &wire.Change{
 		Id: fmt.Sprintf("%s-%d", p.Name, time.Now().UnixNano()), Branch: string(b), Against: int64(publish.Current), Text: text,
 	}
--- /dev/null
+++ b/internal/core/directconf/config.go
@@ -0,0 +1,89 @@
+package directconf
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/inifile"
+)
+
+// Role is what a process does.
+type Role string
+
+// The roles.
+const (
+	RoleGateway Role = "gateway"
+	RoleSidecar Role = "sidecar"
+)
+
+// Config is the settings of one process.
+type Config struct {
+	Role   Role
+	Box    graniteknot.BoxName
+	Zone   graniteknot.AvailabilityZone
+	Region string
+
+	// Requests, Readiness and Directory are where a gateway is called.
+	Requests, Readiness, Directory graniteknot.Address
+	// Peers is where processes of the system send each other datagrams.
+	Peers graniteknot.Address
+	// Metrics is where the process tells its figures; empty for nowhere.
+	Metrics graniteknot.Address
+
+	// Store is the platform's store.
+	Store graniteknot.Address
+	// Target is a sidecar's own replica, of TargetService.
+	Target        graniteknot.Address
+	TargetService graniteknot.Service
+
+	// Memory is the process's limit; 0 is none.
+	Memory graniteknot.Bytes
+	// KeyAge is how old a configuration may be that a key is trusted under.
+	KeyAge time.Duration
+	// Drain is how long after its announcement a leaving replica may still get
+	// requests.
+	Drain time.Duration
+	// Stop bounds a planned stop.
+	Stop time.Duration
+	// AnswerLife is the longest time that callers keep an address answer.
+	AnswerLife time.Duration
+	// RetryPercent is how many retries a hundred requests to a service allow,
+	// RetryExtra how many more in each RetryWindow, over all gateways.
+	RetryPercent float64
+	RetryExtra   float64
+	RetryWindow  time.Duration
+	// Stall is how long a lock-step group stands still for a lost rank.
+	Stall time.Duration
+}
+
+// Load reads a file. All faults are reported at once.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a file's text. The error is of type inifile.Faults.
+func Parse(name string, text []byte) (*Config, error) {
+	file, err := inifile.Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{file: file, config: defaults(), seen: map[string]bool{}}
+	for i := range file.Sections {
+		p.section(&file.Sections[i])
+	}
+	p.required()
+	return p.config, p.faults.Err()
+}
+
+func defaults() *Config {
+	return &Config{
+		KeyAge: 5 * time.Second, Drain: 2 * time.Second, Stop: 8 * time.Second, AnswerLife: 5 * time.Second,
+		RetryPercent: 20, RetryExtra: 50, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/core/directconf/parser.go
@@ -0,0 +1,102 @@
+package directconf
+
+import (
+	"strings"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/inifile"
+)
+
+// parser collects a config and its faults.
+type parser struct {
+	file   *inifile.File
+	config *Config
+	faults inifile.Faults
+	// seen holds the "section.key" that have a value.
+	seen map[string]bool
+}
+
+// setter stores a value, or says what was expected.
+type setter func(c *Config, value string) (expected string)
+
+// setters lists every key as "section.key".
+var setters = map[string]setter{
+	"process.role":       setRole,
+	"process.box":        func(c *Config, v string) string { return setName(&c.Box, v) },
+	"process.zone":       func(c *Config, v string) string { return setName(&c.Zone, v) },
+	"process.region":     func(c *Config, v string) string { c.Region = v; return "" },
+	"process.memory_mb":  setMemory,
+	"process.stop_bound": func(c *Config, v string) string { return setDuration(&c.Stop, v) },
+	"listen.requests":    func(c *Config, v string) string { return setAddress(&c.Requests, v) },
+	"listen.readiness":   func(c *Config, v string) string { return setAddress(&c.Readiness, v) },
+	"listen.directory":   func(c *Config, v string) string { return setAddress(&c.Directory, v) },
+	"listen.peers":       func(c *Config, v string) string { return setAddress(&c.Peers, v) },
+	"listen.metrics":     func(c *Config, v string) string { return setAddress(&c.Metrics, v) },
+	"store.address":      func(c *Config, v string) string { return setAddress(&c.Store, v) },
+	"target.address":     func(c *Config, v string) string { return setAddress(&c.Target, v) },
+	"target.service":     func(c *Config, v string) string { return setName(&c.TargetService, v) },
+	"bounds.key_age":     func(c *Config, v string) string { return setDuration(&c.KeyAge, v) },
+	"bounds.drain":       func(c *Config, v string) string { return setDuration(&c.Drain, v) },
+	"bounds.answer_life": func(c *Config, v string) string { return setDuration(&c.AnswerLife, v) },
+	"bounds.stall":       func(c *Config, v string) string { return setDuration(&c.Stall, v) },
+	"retries.share":      setShare,
+	"retries.extra":      setExtra,
+	"retries.window":     func(c *Config, v string) string { return setDuration(&c.RetryWindow, v) },
+}
+
+func (p *parser) section(s *inifile.Section) {
+	for _, e := range s.Entries {
+		set := setters[s.Name+"."+e.Key]
+		if set == nil {
+			p.fault(s.Name, e.Key, e.Line, "a known key; see graniteknot gateway --help")
+			continue
+		}
+		if e.Value == "" {
+			// Settings that a box lacks are left empty by what fills the file.
+			continue
+		}
+		p.seen[s.Name+"."+e.Key] = true
+		if expected := set(p.config, e.Value); expected != "" {
+			p.fault(s.Name, e.Key, e.Line, expected)
+		}
+	}
+}
+
+// required names what every process needs and what its role needs.
+func (p *parser) required() {
+	need := []string{"process.role", "process.box", "process.zone", "listen.peers", "store.address"}
+	switch p.config.Role {
+	case RoleGateway:
+		need = append(need, "listen.requests", "listen.readiness", "listen.directory")
+	case RoleSidecar:
+		need = append(need, "target.address")
+	}
+	for _, name := range need {
+		if !p.seen[name] {
+			section, key, _ := strings.Cut(name, ".")
+			p.fault(section, key, 1, "this key to be set")
+		}
+	}
+}
+
+func (p *parser) fault(section, key string, line int, expected string) {
+	p.faults = append(p.faults, inifile.Fault{File: p.file.Name, Line: line, Section: section, Key: key, Expected: expected})
+}
+
+const megabyte = 1 << 20
+
+func setMemory(c *Config, v string) string {
+	var n float64
+	expected := setNumber(&n, v)
+	c.Memory = graniteknot.Bytes(n * megabyte)
+	return expected
+}
+
+func setShare(c *Config, v string) string {
+	const percent = 100
+	expected := setNumber(&c.RetryPercent, v)
+	c.RetryPercent *= percent
+	return expected
+}
+
+func setExtra(c *Config, v string) string { return setNumber(&c.RetryExtra, v) }
--- /dev/null
+++ b/internal/core/eventlog/log.go
@@ -0,0 +1,37 @@
+package eventlog
+
+import (
+	"context"
+	"log/slog"
+
+	"k8s.io/klog/v2"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// Log writes the events of one process. The zero value writes nothing.
+type Log struct {
+	logger *slog.Logger
+}
+
+// New returns a log whose lines name the box and the role. Lines of klog go
+// the same way.
+func New(w *Writer, box graniteknot.BoxName, role string) *Log {
+	logger := slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.LevelInfo})).
+		With("box", string(box), "role", role)
+	klog.SetSlogLogger(logger)
+	return &Log{logger: logger}
+}
+
+// Info writes an expected event.
+func (l *Log) Info(event string, fields ...slog.Attr) { l.write(slog.LevelInfo, event, fields) }
+
+// Warn writes an event that costs somebody something.
+func (l *Log) Warn(event string, fields ...slog.Attr) { l.write(slog.LevelWarn, event, fields) }
+
+func (l *Log) write(level slog.Level, event string, fields []slog.Attr) {
+	if l == nil || l.logger == nil {
+		return
+	}
+	l.logger.LogAttrs(context.Background(), level, event, fields...)
+}
--- /dev/null
+++ b/internal/core/fleet/pick.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+// Query is what a replica is chosen for.
+type Query struct {
+	Service *catalog.Service
+	Size    catalog.Size
+	// Tried are not chosen again while others are left.
+	Tried []catalog.ReplicaID
+	// Zone is preferred among equals.
+	Zone graniteknot.AvailabilityZone
+	Now  time.Time
+}
+
+// Pick chooses a replica and takes a place there; nil when there is none.
+func (t *Table) Pick(q *Query) *Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := t.best(q, func(x *target) bool { return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.ID) })
+	if best == nil {
+		best = t.best(q, func(x *target) bool { return !x.replica.Draining && !slices.Contains(q.Tried, x.replica.ID) })
+	}
+	if best == nil {
+		return nil
+	}
+	return t.lease(best, q)
+}
+
+func (t *Table) best(q *Query, may func(*target) bool) *target {
+	var best *target
+	least := 0.0
+	for _, x := range t.services[q.Service.Name] {
+		if !may(x) {
+			continue
+		}
+		cost := x.cost(q) + jitter()
+		if best == nil || cost < least {
+			best, least = x, cost
+		}
+	}
+	return best
+}
+
+func (t *Table) lease(x *target, q *Query) *Lease {
+	l := &Lease{Replica: x.replica, table: t, target: x, size: q.Size, sent: q.Now}
+	if x.failures >= patience {
+		l.trial, x.trial = true, true
+	}
+	x.own[l] = struct{}{}
+	return l
+}
+
+// cost orders replicas for a request; the least is chosen.
+func (t *target) cost(q *Query) float64 {
+	busy := float64(len(t.own) + t.others(q.Now))
+	if q.Service.Engine != nil {
+		return busy + float64(t.reading())/float64(max(1, q.Service.Engine.Chunk))
+	}
+	zone := 0.0
+	if t.replica.Zone != q.Zone {
+		zone = 0.2
+	}
+	return (busy+1)*max(t.latency.Seconds(), 0.01) + zone*0.01
+}
--- /dev/null
+++ b/internal/core/fleet/table.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+const (
+	// reportAge is how old a report may be to count.
+	reportAge = 1500 * time.Millisecond
+	// firstPause is how long a replica is left alone after a failure; it
+	// doubles with each failure in a row, up to longestPause.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 4 * time.Second
+	// patience is how many failures in a row are taken for chance.
+	patience = 2
+	// lapseTime is how long a replica is still used whose record vanished while
+	// the store was away: a live replica registers again within it.
+	lapseTime = 2 * time.Second
+	// smoothing is the weight of a new latency in the mean.
+	smoothing = 0.3
+)
+
+// Table knows the replicas. The zero value is empty.
+type Table struct {
+	mu      sync.Mutex
+	targets map[catalog.ReplicaID]*target
+	// services holds the same targets by service.
+	services map[graniteknot.Service][]*target
+}
+
+// Put adds or changes a registered replica. It returns whether anything but a
+// heartbeat changed.
+func (t *Table) Put(r catalog.Replica, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.targets == nil {
+		t.targets = map[catalog.ReplicaID]*target{}
+		t.services = map[graniteknot.Service][]*target{}
+	}
+	old := t.targets[r.ID]
+	if old == nil {
+		added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
+		t.targets[r.ID] = added
+		t.services[r.Service] = append(t.services[r.Service], added)
+		return true
+	}
+	changed := old.replica.Draining != r.Draining || !old.lapsed.IsZero()
+	// A replica that once said that it leaves does not come back in this life.
+	r.Draining = r.Draining || old.replica.Draining
+	old.replica = r
+	old.lapsed = time.Time{}
+	return changed
+}
+
+// Remove takes out a replica whose record is gone.
+func (t *Table) Remove(id catalog.ReplicaID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.remove(id)
+}
+
+func (t *Table) remove(id catalog.ReplicaID) bool {
+	old := t.targets[id]
+	if old == nil {
+		return false
+	}
+	delete(t.targets, id)
+	list := t.services[old.replica.Service]
+	for i, x := range list {
+		if x == old {
+			t.services[old.replica.Service] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
+// Lapse notes that a record vanished at a time at which the store can't be
+// trusted to know.
+func (t *Table) Lapse(id catalog.ReplicaID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.targets[id]
+	if old == nil || !old.lapsed.IsZero() {
+		return false
+	}
+	old.lapsed = now
+	return true
+}
+
+// Expire removes the replicas whose records vanished, once the store has been
+// back since the given time for long enough. It returns their ids.
+func (t *Table) Expire(back, now time.Time) []catalog.ReplicaID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []catalog.ReplicaID
+	for id, x := range t.targets {
+		if x.lapsed.IsZero() {
+			continue
+		}
+		since := x.lapsed
+		if back.After(since) {
+			since = back
+		}
+		if now.Sub(since) >= lapseTime {
+			out = append(out, id)
+		}
+	}
+	for _, id := range out {
+		t.remove(id)
+	}
+	return out
+}
+
+// IDs returns the ids of all known replicas.
+func (t *Table) IDs() []catalog.ReplicaID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]catalog.ReplicaID, 0, len(t.targets))
+	for id := range t.targets {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Find returns a replica's record by its address.
+func (t *Table) Find(a graniteknot.Address) (catalog.Replica, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.targets {
+		if x.replica.Address == a && !x.replica.Draining {
+			return x.replica, true
+		}
+	}
+	return catalog.Replica{}, false
+}
+
+// Report takes a replica's own report.
+func (t *Table) Report(id catalog.ReplicaID, l Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.targets[id]; x != nil && l.Taken.After(x.load.Taken) {
+		x.load = l
+	}
+}
+
+// Count tells how many replicas a service has, and how many may be used.
+func (t *Table) Count(s graniteknot.Service, now time.Time) (all, usable int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.services[s] {
+		all++
+		if x.usable(now) {
+			usable++
+		}
+	}
+	return all, usable
+}
+
+func (t *target) usable(now time.Time) bool {
+	return !t.replica.Draining && !t.paused(now)
+}
+
+// paused tells whether a replica that failed is left alone for now.
+func (t *target) paused(now time.Time) bool {
+	return t.failures >= patience && (now.Before(t.until) || t.trial)
+}
+
+// jitter breaks ties between equal targets.
+func jitter() float64 { return rand.Float64() * 1e-3 }
--- /dev/null
+++ b/internal/core/fleet/target.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+// Load is a replica's own report.
+type Load struct {
+	// Running requests are in the batch, Waiting ones before it.
+	Running, Waiting int
+	// Held is how many tokens of context can't give way.
+	Held graniteknot.Tokens
+	// Pace above 1 is a slow replica.
+	Pace float64
+	// Step is the last pass that was begun.
+	Step graniteknot.Step
+	// Taken is when the report was made.
+	Taken time.Time
+}
+
+// target is one replica and what is known of it. The table's lock guards it.
+type target struct {
+	replica catalog.Replica
+	// registered is when this process learned of it.
+	registered time.Time
+	// lapsed is when its record vanished without a word while the store could
+	// not be trusted; zero when it is there.
+	lapsed time.Time
+
+	// own are this process's requests at the replica.
+	own map[*Lease]struct{}
+	// load is the last report; its Taken is zero before the first.
+	load Load
+
+	// failures counts failures in a row; until is when it is tried again.
+	failures int
+	until    time.Time
+	// trial tells that a request is under way that tries a failed replica.
+	trial bool
+	// latency is a moving mean of the time to the first byte; 0 before the
+	// first.
+	latency time.Duration
+}
+
+// reading returns the prompt tokens of own requests that have no first event.
+func (t *target) reading() graniteknot.Tokens {
+	var sum graniteknot.Tokens
+	for l := range t.own {
+		if !l.begun {
+			sum += l.size.Prompt
+		}
+	}
+	return sum
+}
+
+// others estimates the requests at the replica that are not this process's.
+func (t *target) others(now time.Time) int {
+	if t.load.Taken.IsZero() || now.Sub(t.load.Taken) > reportAge {
+		return 0
+	}
+	known := 0
+	for l := range t.own {
+		if l.sent.Before(t.load.Taken) {
+			known++
+		}
+	}
+	return max(0, t.load.Running+t.load.Waiting-known)
+}
--- /dev/null
+++ b/internal/core/forward/budgets.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"sync"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/retry"
+)
+
+// Budgets holds this process's part of each service's retry budget. The zero
+// value allows no retries; set Percent and Burst.
+type Budgets struct {
+	// Percent is how many retries a hundred first attempts allow.
+	Percent func() int64
+	// Burst is how many retries may be saved up.
+	Burst func() float64
+
+	mu       sync.Mutex
+	services map[graniteknot.Service]*retry.Budget
+}
+
+// First notes a first attempt.
+func (b *Budgets) First(s graniteknot.Service) { b.of(s).First() }
+
+// Spend asks for one retry.
+func (b *Budgets) Spend(s graniteknot.Service) bool { return b.of(s).Spend() }
+
+func (b *Budgets) of(s graniteknot.Service) *retry.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services == nil {
+		b.services = map[graniteknot.Service]*retry.Budget{}
+	}
+	found := b.services[s]
+	if found == nil {
+		found = &retry.Budget{Percent: b.Percent, Burst: b.Burst}
+		b.services[s] = found
+	}
+	return found
+}
--- /dev/null
+++ b/internal/core/forward/dialect.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+// Attempt is a request as it goes to one replica.
+type Attempt struct {
+	*Job
+	Replica *catalog.Replica
+	// Left is the time that the replica has.
+	Left time.Duration
+	// After is the last event that the caller has; empty for none.
+	After EventID
+}
+
+// Marks are what an answer says beside its status and body.
+type Marks struct {
+	// ID is the request that the answer belongs to.
+	ID graniteknot.RequestID
+	// Sealed answers are a replica's own.
+	Sealed bool
+	// NotRun is the replica's word that the request did not run and never will.
+	NotRun bool
+	// Elsewhere tells that another replica has the address; it implies NotRun.
+	Elsewhere bool
+	// Blamed is the replica that the answer blames; empty for none.
+	Blamed string
+	// Again is when to come back; 0 when the answer does not say.
+	Again time.Duration
+}
+
+// Dialect writes requests to replicas and reads their answers' marks.
+type Dialect interface {
+	// Head returns the head of an attempt, with the empty line.
+	Head(a *Attempt) []byte
+	// Marks reads what an answer says.
+	Marks(status int, h http.Header) Marks
+}
--- /dev/null
+++ b/internal/core/forward/forwarder.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/conns"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// Forwarder takes requests to replicas. Set the exported fields.
+type Forwarder struct {
+	Dialect Dialect
+	Pool    *conns.Pool
+	Fleet   *fleet.Table
+	Budgets *Budgets
+	Log     *eventlog.Log
+	Zone    graniteknot.AvailabilityZone
+	// Fresh tells whether the configuration is new enough to trust a key.
+	Fresh func() bool
+	// ConnLimit bounds this process's connections to one replica of a service.
+	ConnLimit func(*catalog.Service) int
+}
+
+var errTimeout = errors.New("the request's time is over")
+
+// Do takes a job to its one result.
+func (f *Forwarder) Do(caller context.Context, j *Job, sink Sink) Result {
+	ctx, cancel := context.WithCancelCause(caller)
+	defer cancel(nil)
+	if !j.End.IsZero() {
+		timer := time.AfterFunc(time.Until(j.End), func() { cancel(errTimeout) })
+		defer timer.Stop()
+	}
+	r := &run{f: f, job: j, sink: sink, ctx: ctx, after: j.After}
+	r.take()
+	return r.result
+}
+
+// run is one request on its way.
+type run struct {
+	f    *Forwarder
+	job  *Job
+	sink Sink
+	ctx  context.Context //nolint:containedctx // It is the request's own life.
+
+	tried []catalog.ReplicaID
+	// mayHaveRun tells that no replica's word covers some attempt.
+	mayHaveRun bool
+	// after is the last event that the caller has.
+	after EventID
+	// lastPart is when the last part was passed on; zero before the first.
+	lastPart time.Time
+	// spare is a replica's own failure, given when nothing better comes.
+	spare  *reply
+	result Result
+}
+
+// reply is a whole answer of a replica.
+type reply struct {
+	status int
+	header map[string][]string
+	body   []byte
+}
+
+// step says what follows an attempt.
+type step uint8
+
+const (
+	// stepDone ends the request; the result is set.
+	stepDone step = iota
+	// stepAgain tries another replica, if the request may.
+	stepAgain
+)
+
+// take makes attempts until one settles the request.
+func (r *run) take() {
+	f := r.f
+	f.Budgets.First(r.job.Service.Name)
+	for {
+		if why, ok := r.mayTry(); !ok {
+			r.giveUp(why)
+			return
+		}
+		lease := f.Fleet.Pick(&fleet.Query{
+			Service: r.job.Service, Size: r.job.Size, Tried: r.tried, Zone: f.Zone, Now: time.Now(),
+		})
+		if lease == nil {
+			r.giveUp(ReasonNoReplica)
+			return
+		}
+		r.result.Attempts++
+		r.result.Replica = string(lease.Replica.ID)
+		next, verdict, why := r.attempt(lease)
+		lease.End(verdict, time.Now())
+		r.logAttempt(lease, verdict, why)
+		if next == stepDone {
+			return
+		}
+		r.tried = append(r.tried, lease.Replica.ID)
+		r.result.Reason = why
+	}
+}
+
+// mayTry tells whether another attempt may be made, and if not, why.
+func (r *run) mayTry() (Reason, bool) {
+	if r.ctx.Err() != nil {
+		return r.stopReason(), false
+	}
+	if r.job.Account != nil && !r.f.Fresh() {
+		return ReasonStale, false
+	}
+	if r.result.Attempts == 0 {
+		return ReasonNone, true
+	}
+	if r.result.Attempts >= r.job.Route.Attempts {
+		return r.result.Reason, false
+	}
+	if r.mayHaveRun && !r.job.Route.Repeats() {
+		return r.result.Reason, false
+	}
+	if !r.f.Budgets.Spend(r.job.Service.Name) {
+		return ReasonBudget, false
+	}
+	return ReasonNone, true
+}
+
+// stopReason says why the request's context ended.
+func (r *run) stopReason() Reason {
+	if errors.Is(context.Cause(r.ctx), errTimeout) {
+		return ReasonTimeout
+	}
+	return ReasonCallerGone
+}
+
+// giveUp settles a request that gets no answer of its own.
+func (r *run) giveUp(why Reason) {
+	if r.spare != nil && !r.result.Begun && why != ReasonCallerGone {
+		r.give(r.spare)
+		return
+	}
+	r.result.Reason = why
+	r.result.Outcome = graniteknot.OutcomeUnknown
+	if !r.mayHaveRun {
+		r.result.Outcome = graniteknot.OutcomeNotRun
+	}
+}
+
+// give passes a whole answer on.
+func (r *run) give(a *reply) {
+	r.first()
+	r.result.Status = a.status
+	r.result.Reason = ReasonNone
+	r.result.Outcome = graniteknot.OutcomeAnswered
+	r.result.Begun = true
+	if err := r.sink.Whole(a.status, a.header, a.body); err != nil {
+		r.result.Outcome = graniteknot.OutcomeUnknown
+		r.result.Reason = ReasonCallerGone
+	}
+}
+
+// first notes the first byte of the answer.
+func (r *run) first() {
+	if r.result.First == 0 {
+		r.result.First = time.Since(r.job.Arrived)
+	}
+}
+
+func (r *run) logAttempt(l *fleet.Lease, v fleet.Verdict, why Reason) {
+	fields := []slog.Attr{
+		slog.String("request", string(r.job.ID)), slog.Int("attempt", r.result.Attempts),
+		slog.String("replica", string(l.Replica.ID)), slog.String("address", string(l.Replica.Address)),
+		slog.String("verdict", v.String()), slog.Duration("since_arrival", time.Since(r.job.Arrived)),
+	}
+	if why == ReasonNone {
+		r.f.Log.Info("attempt", fields...)
+		return
+	}
+	r.f.Log.Warn("attempt", append(fields, slog.String("reason", string(why)))...)
+}
--- /dev/null
+++ b/internal/core/forward/result.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// Reason says why a request has no answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone Reason = ""
+	// ReasonStale is a configuration that is too old to trust a key.
+	ReasonStale Reason = "stale-configuration"
+	// ReasonNoReplica is a service without a usable replica.
+	ReasonNoReplica Reason = "no-replica"
+	// ReasonBusy is a service whose replicas have no room in time.
+	ReasonBusy Reason = "busy"
+	// ReasonRefused is a replica's word that it did not run the request.
+	ReasonRefused Reason = "refused-by-replica"
+	// ReasonUnreached are replicas that could not be connected to.
+	ReasonUnreached Reason = "unreached"
+	// ReasonLost is an answer that did not come, or not whole.
+	ReasonLost Reason = "answer-lost"
+	// ReasonSpoiled is an answer that can't be trusted.
+	ReasonSpoiled Reason = "answer-spoiled"
+	// ReasonTimeout is the end of the request's time.
+	ReasonTimeout Reason = "timeout"
+	// ReasonCallerGone is a caller that left.
+	ReasonCallerGone Reason = "caller-gone"
+	// ReasonBudget is an empty retry budget.
+	ReasonBudget Reason = "retry-budget"
+)
+
+// Result is how a request ended.
+type Result struct {
+	Outcome graniteknot.Outcome
+	Reason  Reason
+	// Begun tells that a part of the answer was passed on.
+	Begun bool
+	// Again is when to come back, for requests that did not run.
+	Again time.Duration
+	// Status is the answer's, 0 without one.
+	Status   int
+	Attempts int
+	// First is the time from arrival to the first byte of the answer.
+	First time.Duration
+	// Pause is the longest time between two parts of a stream.
+	Pause time.Duration
+	// Replica is the last one asked.
+	Replica string
+}
--- /dev/null
+++ b/internal/core/forward/stream.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"graniteknot.org/go/internal/core/conns"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// readSize is how much of a stream is read at once.
+const readSize = 4 << 10
+
+// stream passes the events of an answer on as they come.
+func (r *run) stream(l *fleet.Lease, answer *http.Response) (next step, v fleet.Verdict, why Reason, reuse bool) {
+	marks := r.f.Dialect.Marks(answer.StatusCode, answer.Header)
+	r.mayHaveRun = true
+	if !marks.Sealed {
+		return stepAgain, fleet.VerdictBad, ReasonSpoiled, false
+	}
+	events := splitter{}
+	buffer := make([]byte, readSize)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if whole := events.add(buffer[:n]); len(whole) > 0 {
+			l.Begun(time.Now())
+			if gone := r.pass(answer, whole, events.last); gone {
+				return stepDone, fleet.VerdictNone, ReasonCallerGone, false
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) && events.empty() {
+			return r.ended(answer)
+		}
+		next, v, why = r.failed(&conns.Error{Op: "read stream", Kind: conns.KindLost, Err: err})
+		return next, v, why, false
+	}
+}
+
+// ended settles a stream that its replica ended.
+func (r *run) ended(answer *http.Response) (step, fleet.Verdict, Reason, bool) {
+	if !r.result.Begun && !r.begin(answer) {
+		return stepDone, fleet.VerdictNone, ReasonCallerGone, false
+	}
+	r.finish(answer.StatusCode)
+	return stepDone, fleet.VerdictGood, ReasonNone, true
+}
+
+// pass gives whole events to the caller; true when the caller is gone.
+func (r *run) pass(answer *http.Response, whole []byte, last EventID) (gone bool) {
+	if !r.result.Begun && !r.begin(answer) {
+		return true
+	}
+	now := time.Now()
+	if !r.lastPart.IsZero() {
+		r.result.Pause = max(r.result.Pause, now.Sub(r.lastPart))
+	}
+	r.lastPart = now
+	if err := r.sink.Events(whole); err != nil {
+		r.giveUp(ReasonCallerGone)
+		return true
+	}
+	if last != "" {
+		r.after = last
+	}
+	return false
+}
+
+// begin passes the head of a stream on; false when the caller is gone.
+func (r *run) begin(answer *http.Response) bool {
+	r.first()
+	if err := r.sink.Begin(answer.StatusCode, answer.Header); err != nil {
+		r.giveUp(ReasonCallerGone)
+		return false
+	}
+	r.result.Begun = true
+	r.result.Status = answer.StatusCode
+	return true
+}
--- /dev/null
+++ b/internal/core/gateway/follow.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/watch"
+)
+
+const (
+	// settingsWait is how long one read of the settings waits for a change. Each
+	// read proves that the tree is the newest, so it bounds the tree's age.
+	settingsWait = time.Second
+	// replicasPause is the time between two reads of the replicas' records,
+	// which change with every heartbeat. It is a third of the time after which a
+	// leaving replica must get no more requests.
+	replicasPause = 600 * time.Millisecond
+	// doubtTime is how long after an outage of the store a vanished record is
+	// not taken for the replica's end.
+	doubtTime = 2500 * time.Millisecond
+	// lookPeriod is how often lapsed records and the tree's age are looked at.
+	lookPeriod = 250 * time.Millisecond
+)
+
+func (g *Gateway) followSettings(ctx context.Context) {
+	f := watch.Follower{
+		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait,
+		Newest: g.takeSettings, Next: g.takeSettings,
+	}
+	f.Run(ctx)
+}
+
+func (g *Gateway) takeSettings(records []graniteknot.KeyedRecord, began time.Time) {
+	var newest *catalog.Tree
+	for _, r := range records {
+		tree, err := g.Translator.Tree(r)
+		if err != nil {
+			g.Log.Warn("malformed configuration", slog.Int64("position", int64(r.At)), slog.String("error", err.Error()))
+			continue
+		}
+		if tree != nil {
+			newest = tree
+		}
+	}
+	if newest == nil {
+		if tree, _ := g.Trees.Current(began); tree != nil {
+			g.Trees.Prove(tree.Version, began)
+		}
+		return
+	}
+	changed, err := g.Trees.Offer(newest, began)
+	if err != nil {
+		g.Log.Warn("configuration refused", slog.Int64("version", int64(newest.Version)), slog.String("error", err.Error()))
+		return
+	}
+	if changed {
+		g.servers.limit(newest.Limits)
+		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
+			slog.Duration("read_took", time.Since(began)))
+	}
+}
+
+func (g *Gateway) followReplicas(ctx context.Context) {
+	f := watch.Follower{
+		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: replicasPause,
+		Newest: g.resetReplicas, Next: g.takeReplicas,
+	}
+	f.Run(ctx)
+}
+
+// resetReplicas takes the newest records; a replica without one has vanished.
+func (g *Gateway) resetReplicas(records []graniteknot.KeyedRecord, began time.Time) {
+	there := map[catalog.ReplicaID]bool{}
+	for _, r := range records {
+		there[catalog.ReplicaID(r.Key)] = true
+	}
+	for _, id := range g.Fleet.IDs() {
+		if !there[id] {
+			g.vanished(id)
+		}
+	}
+	g.takeReplicas(records, began)
+}
+
+func (g *Gateway) takeReplicas(records []graniteknot.KeyedRecord, _ time.Time) {
+	now := time.Now()
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			g.vanished(catalog.ReplicaID(r.Key))
+			continue
+		}
+		replica, err := g.Translator.Replica(r)
+		if err != nil {
+			g.Log.Warn("malformed replica", slog.String("key", r.Key), slog.String("error", err.Error()))
+			continue
+		}
+		if g.Fleet.Put(replica, now) {
+			g.Log.Info("replica", slog.String("replica", r.Key), slog.String("service", string(replica.Service)),
+				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining),
+				slog.Int64("position", int64(r.At)))
+		}
+	}
+}
+
+// vanished acts on a record that is gone. While the store is away, and shortly
+// after, records lapse that live replicas will write again.
+func (g *Gateway) vanished(id catalog.ReplicaID) {
+	if g.Health.Doubtful(time.Now(), doubtTime) {
+		if g.Fleet.Lapse(id, time.Now()) {
+			g.Log.Info("replica lapsed", slog.String("replica", string(id)))
+		}
+		return
+	}
+	if g.Fleet.Remove(id) {
+		g.Log.Info("replica gone", slog.String("replica", string(id)))
+	}
+}
+
+// look removes replicas that did not come back, and tells when the
+// configuration becomes too old to trust keys, or new enough again.
+func (g *Gateway) look() {
+	if back, up := g.Health.Back(); up {
+		for _, id := range g.Fleet.Expire(back, time.Now()) {
+			g.Log.Info("replica gone", slog.String("replica", string(id)), slog.Bool("lapsed", true))
+		}
+	}
+	tree, age := g.Trees.Current(time.Now())
+	if tree == nil {
+		return
+	}
+	stale := age >= g.keyAge()
+	if g.stale.Swap(stale) != stale {
+		g.Log.Warn("configuration age", slog.Bool("stale", stale), slog.Int64("version", int64(tree.Version)), slog.Duration("age", age))
+	}
+}
--- /dev/null
+++ b/internal/core/gateway/gateway.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/conns"
+	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/watch"
+)
+
+const (
+	// keyMargin is taken from the age that a configuration may have, for the
+	// way of a request to its replica.
+	keyMargin = 400 * time.Millisecond
+	// spareGateways is how many more gateways may come than are known, before
+	// the connections and retries of all are divided anew.
+	spareGateways = 3
+	// connShare is the part of a replica's connections that the gateways use.
+	connShare = 0.8
+	// sweepPeriod is how often connections that rested too long are closed.
+	sweepPeriod = time.Second
+)
+
+// Parts are what a Gateway is made of.
+type Parts struct {
+	Config     *directconf.Config
+	Store      graniteknot.KeyedStore
+	Translator Translator
+	Log        *eventlog.Log
+	Born       graniteknot.Incarnation
+}
+
+// Gateway is the process. Make it with New.
+type Gateway struct {
+	Parts
+	Trees   catalog.Holder
+	Fleet   fleet.Table
+	Pool    conns.Pool
+	Members presence.View
+	Forward forward.Forwarder
+	Health  watch.Health
+
+	socket  *presence.Socket
+	servers servers
+	group   group.Group
+	// leaving is set once a planned stop has begun.
+	leaving atomic.Bool
+	// stale tells that the last look found the configuration too old.
+	stale atomic.Bool
+}
+
+// New returns a gateway that does nothing until Start.
+func New(p Parts) *Gateway {
+	g := &Gateway{Parts: p}
+	g.Health.Log = p.Log
+	g.Forward = forward.Forwarder{
+		Dialect: p.Translator, Pool: &g.Pool, Fleet: &g.Fleet, Log: p.Log, Zone: p.Config.Zone,
+		Fresh: g.fresh, ConnLimit: g.connLimit,
+		Budgets: &forward.Budgets{Percent: g.retryPercent, Burst: g.retryBurst},
+	}
+	return g
+}
+
+// Start opens the addresses and begins the gateway's own work.
+func (g *Gateway) Start(ctx context.Context) error {
+	c := g.Config
+	socket, err := presence.Listen(ctx, c.Peers, c.Box, g.Born, g.Log, g.heard)
+	if err != nil {
+		return err
+	}
+	g.socket = socket
+	if err := g.listen(ctx); err != nil {
+		return err
+	}
+	g.follow()
+	g.Log.Info("started", slog.String("requests", string(c.Requests)), slog.String("zone", string(c.Zone)),
+		slog.String("store", string(c.Store)), slog.Uint64("born", uint64(g.Born)))
+	return nil
+}
+
+// follow begins the loops.
+func (g *Gateway) follow() {
+	g.group.Go(g.followSettings)
+	g.group.Go(g.followReplicas)
+	registrar := &presence.Registrar{
+		Store: g.Store, Self: g.self(), View: &g.Members, Health: &g.Health, Log: g.Log,
+		Joined: func(presence.Member) { g.hello() },
+	}
+	g.group.Go(registrar.Register)
+	g.group.Go(registrar.Follow)
+	g.every(presence.Period, g.hello)
+	g.every(sweepPeriod, g.Pool.Sweep)
+	g.every(lookPeriod, g.look)
+}
+
+func (g *Gateway) every(period time.Duration, step func()) {
+	g.group.Go(func(ctx context.Context) {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				step()
+			}
+		}
+	})
+}
+
+func (g *Gateway) self() presence.Member {
+	c := g.Config
+	return presence.Member{
+		Box: c.Box, Role: presence.RoleGateway, Zone: c.Zone, Peers: c.Peers, Requests: c.Requests, Born: g.Born,
+	}
+}
+
+// hello tells the other gateways that this one lives.
+func (g *Gateway) hello() {
+	self := g.self()
+	var to []graniteknot.Address
+	for _, m := range g.Members.Members(presence.RoleGateway, g.Config.Box) {
+		to = append(to, m.Peers)
+	}
+	g.socket.Send(presence.Message{Ready: g.ready(), Self: &self}, to)
+}
+
+// heard takes a datagram.
+func (g *Gateway) heard(m *presence.Message) {
+	now := time.Now()
+	g.Members.Heard(m, now)
+	if d := m.Load; d != nil {
+		g.Fleet.Report(catalog.ReplicaID(d.Replica), fleet.Load{
+			Running: d.Running, Waiting: d.Waiting, Held: graniteknot.Tokens(d.Held), Pace: float64(d.Pace),
+			Step: graniteknot.Step(d.Step), Taken: now,
+		})
+	}
+}
+
+// ready tells whether the gateway takes requests.
+func (g *Gateway) ready() bool {
+	if g.leaving.Load() {
+		return false
+	}
+	tree, age := g.Trees.Current(time.Now())
+	return tree != nil && (!tree.Tenanted || age < g.keyAge())
+}
+
+func (g *Gateway) keyAge() time.Duration { return g.Config.KeyAge - keyMargin }
+
+func (g *Gateway) fresh() bool {
+	tree, age := g.Trees.Current(time.Now())
+	return tree != nil && age < g.keyAge()
+}
+
+// gateways is how many may send requests, those still to come included.
+func (g *Gateway) gateways() int {
+	return len(g.Members.Members(presence.RoleGateway, g.Config.Box)) + 1 + spareGateways
+}
+
+func (g *Gateway) connLimit(s *catalog.Service) int {
+	if s.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, int(connShare*float64(s.MaxConnections))/g.gateways())
+}
+
+// retryShare is the part of the retry budget that is used, since windows slide
+// and the gateways do not see each other's retries.
+const retryShare = 0.7
+
+func (g *Gateway) retryPercent() int64 { return int64(retryShare * g.Config.RetryPercent) }
+
+func (g *Gateway) retryBurst() float64 {
+	return retryShare * g.Config.RetryExtra / float64(g.gateways())
+}
--- /dev/null
+++ b/internal/core/gateway/serve.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/forward"
+)
+
+// refusedAgain is when a caller may come back that was refused for want of
+// room, configuration or replicas.
+const refusedAgain = 300 * time.Millisecond
+
+// serve takes one caller's request to its answer.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	tree, age := g.Trees.Current(arrived)
+	request, err := g.Translator.Request(r, arrived)
+	x := &exchange{gateway: g, w: w, r: r, request: request, age: age}
+	if tree == nil {
+		x.refuse(http.StatusServiceUnavailable, "no-configuration", refusedAgain)
+		return
+	}
+	x.version = tree.Version
+	if err != nil {
+		x.refuse(http.StatusBadRequest, "malformed", 0)
+		return
+	}
+	job := x.admit(tree)
+	if job == nil || !x.body(tree.Limits.BodyBytes) {
+		return
+	}
+	result := g.Forward.Do(r.Context(), job, x)
+	x.end(&result)
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	gateway *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	request *forward.Request
+	job     *forward.Job
+	// version and age are of the configuration that the request was read under.
+	version catalog.Version
+	age     time.Duration
+}
+
+// admit finds the request's route, account and service; nil after a refusal.
+func (x *exchange) admit(tree *catalog.Tree) *forward.Job {
+	route := tree.Route(x.request.Host, x.request.Path)
+	if route == nil {
+		x.refuse(http.StatusNotFound, "no-route", 0)
+		return nil
+	}
+	account := tree.Account(x.request.Key)
+	if account == nil && tree.Tenanted && !route.Public {
+		x.refuse(http.StatusUnauthorized, "unknown-key", 0)
+		return nil
+	}
+	if account != nil && !x.gateway.fresh() {
+		x.refuse(http.StatusServiceUnavailable, string(forward.ReasonStale), refusedAgain)
+		return nil
+	}
+	x.job = &forward.Job{
+		Request: x.request, Route: route, Account: account, Service: tree.Service(route.Pick(rand.Uint64())),
+		End: endOf(x.request, route),
+	}
+	return x.job
+}
+
+// endOf is the earlier of the request's deadline and the route's timeout.
+func endOf(r *forward.Request, route *catalog.Route) time.Time {
+	end := r.Deadline
+	if route.Timeout > 0 {
+		if t := r.Arrived.Add(route.Timeout); end.IsZero() || t.Before(end) {
+			end = t
+		}
+	}
+	return end
+}
+
+// body reads the request's body; false after a refusal.
+func (x *exchange) body(limit int) bool {
+	reader := x.r.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(x.w, reader, int64(limit))
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.job.End)
+	body, err := io.ReadAll(reader)
+	_ = control.SetReadDeadline(time.Time{})
+	x.request.Body = body
+	if err == nil {
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		x.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+		return false
+	}
+	x.refuse(http.StatusRequestTimeout, "body-incomplete", 0)
+	return false
+}
+
+// refuse answers a request that was handed to no replica.
+func (x *exchange) refuse(status int, reason string, again time.Duration) {
+	x.fail(status, again)
+	x.gateway.Log.Warn("refused", slog.String("request", string(x.request.ID)), slog.Int("status", status),
+		slog.String("reason", reason), slog.Int64("version", int64(x.version)), slog.Duration("version_age", x.age),
+		slog.String("host", x.request.Host), slog.String("path", x.request.Path))
+}
+
+// fail writes a failure of the product's own.
+func (x *exchange) fail(status int, again time.Duration) {
+	x.gateway.Translator.Refusal(x.w.Header(), x.request.ID, again)
+	x.w.WriteHeader(status)
+}
+
+// end tells the caller how the request ended, where its answer did not, and
+// writes the line that closes its story.
+func (x *exchange) end(result *forward.Result) {
+	status := result.Status
+	switch {
+	case result.Outcome == graniteknot.OutcomeAnswered:
+	case result.Begun:
+		status = 0
+	case result.Reason == forward.ReasonCallerGone:
+		status = 0
+	case result.Outcome == graniteknot.OutcomeNotRun:
+		status = http.StatusServiceUnavailable
+		x.fail(status, max(result.Again, refusedAgain))
+	case result.Reason == forward.ReasonTimeout:
+		status = http.StatusGatewayTimeout
+		x.fail(status, 0)
+	default:
+		status = http.StatusBadGateway
+		x.fail(status, 0)
+	}
+	x.log(result, status)
+	if status == 0 && result.Outcome != graniteknot.OutcomeAnswered {
+		// The connection is closed, so that what was sent does not look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) log(result *forward.Result, status int) {
+	fields := []slog.Attr{
+		slog.String("request", string(x.request.ID)), slog.String("outcome", result.Outcome.String()),
+		slog.Int("status", status), slog.String("service", string(x.job.Service.Name)),
+		slog.String("route", x.job.Route.Name), slog.String("kind", x.job.Route.Kind.String()),
+		slog.Int("attempts", result.Attempts), slog.String("replica", result.Replica),
+		slog.Duration("first", result.First), slog.Duration("pause", result.Pause),
+		slog.Duration("took", time.Since(x.request.Arrived)),
+		slog.Int64("version", int64(x.version)), slog.Duration("version_age", x.age),
+	}
+	if x.job.Account != nil {
+		fields = append(fields, slog.String("account", string(x.job.Account.Name)))
+	}
+	if result.Outcome == graniteknot.OutcomeAnswered {
+		x.gateway.Log.Info("request", fields...)
+		return
+	}
+	x.gateway.Log.Warn("request", append(fields, slog.String("reason", string(result.Reason)))...)
+}
+
+// Whole implements forward.Sink.
+func (x *exchange) Whole(status int, h http.Header, body []byte) error {
+	x.gateway.Translator.Answer(h, x.w.Header())
+	x.noType()
+	x.w.WriteHeader(status)
+	_, err := x.w.Write(body)
+	return err
+}
+
+// Begin implements forward.Sink.
+func (x *exchange) Begin(status int, h http.Header) error {
+	x.gateway.Translator.Answer(h, x.w.Header())
+	x.noType()
+	x.w.WriteHeader(status)
+	return nil
+}
+
+// noType keeps net/http from guessing a type that the replica did not give.
+func (x *exchange) noType() {
+	if _, given := x.w.Header()["Content-Type"]; !given {
+		x.w.Header()["Content-Type"] = nil
+	}
+}
+
+// Events implements forward.Sink.
+func (x *exchange) Events(b []byte) error {
+	if _, err := x.w.Write(b); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
--- /dev/null
+++ b/internal/core/presence/message.go
@@ -0,0 +1,38 @@
+package presence
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// Message is one datagram.
+type Message struct {
+	Box  graniteknot.BoxName     `cbor:"1,keyasint"`
+	Born graniteknot.Incarnation `cbor:"2,keyasint"`
+	// Sequence grows with each datagram of a life.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Ready gateways take requests.
+	Ready bool `cbor:"4,keyasint,omitempty"`
+	// Self describes the sender; gateways set it.
+	Self *Member `cbor:"6,keyasint,omitempty"`
+	// Load is set by sidecars.
+	Load *Digest `cbor:"5,keyasint,omitempty"`
+}
+
+// Digest is a replica's load, as its sidecar read it just before sending.
+type Digest struct {
+	Replica string  `cbor:"1,keyasint"`
+	Running int     `cbor:"2,keyasint,omitempty"`
+	Waiting int     `cbor:"3,keyasint,omitempty"`
+	Held    int64   `cbor:"4,keyasint,omitempty"`
+	Pace    float32 `cbor:"5,keyasint,omitempty"`
+	Step    uint64  `cbor:"6,keyasint,omitempty"`
+}
+
+func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
+
+func decode(b []byte) (*Message, error) {
+	m := &Message{}
+	return m, cbor.Unmarshal(b, m)
+}
--- /dev/null
+++ b/internal/core/presence/registrar.go
@@ -0,0 +1,87 @@
+package presence
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/watch"
+)
+
+const (
+	// registerRetry is the pause after a failed try to register.
+	registerRetry = 400 * time.Millisecond
+	// followWait is how long one read of the members waits for a change.
+	followWait = 20 * time.Second
+	// followPause gathers changes that come together, as at a start.
+	followPause = 500 * time.Millisecond
+)
+
+// Registrar writes a process into the store and follows the others.
+type Registrar struct {
+	Store  graniteknot.KeyedStore
+	Self   Member
+	View   *View
+	Health *watch.Health
+	Log    *eventlog.Log
+	// Joined is called when a member is new, or a new life of one; nil for
+	// nothing.
+	Joined func(Member)
+}
+
+// Register writes the process into the store; it tries until it has an answer.
+func (r *Registrar) Register(ctx context.Context) {
+	value, err := json.Marshal(r.Self)
+	if err != nil {
+		r.Log.Warn("register", slog.String("error", err.Error()))
+		return
+	}
+	for ctx.Err() == nil {
+		at, err := r.Store.Append(ctx, graniteknot.TopicMembers, graniteknot.KeyedRecord{Key: string(r.Self.Box), Value: value})
+		if err == nil {
+			r.Log.Info("registered", slog.Int64("position", int64(at)), slog.Uint64("born", uint64(r.Self.Born)))
+			return
+		}
+		// Registering twice is harmless.
+		timer := time.NewTimer(registerRetry)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// Follow keeps the view up to date until ctx is done.
+func (r *Registrar) Follow(ctx context.Context) {
+	follower := watch.Follower{
+		Store: r.Store, Topic: graniteknot.TopicMembers, Health: r.Health, Wait: followWait, Pause: followPause,
+		Newest: r.take, Next: r.take,
+	}
+	follower.Run(ctx)
+}
+
+func (r *Registrar) take(records []graniteknot.KeyedRecord, _ time.Time) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			r.View.Remove(graniteknot.BoxName(record.Key))
+			continue
+		}
+		var m Member
+		if err := json.Unmarshal(record.Value, &m); err != nil {
+			r.Log.Warn("malformed member", slog.String("key", record.Key), slog.String("error", err.Error()))
+			continue
+		}
+		if m.Box == r.Self.Box || !r.View.Put(m, time.Now()) {
+			continue
+		}
+		r.Log.Info("member", slog.String("member", string(m.Box)), slog.String("member_role", string(m.Role)),
+			slog.Uint64("born", uint64(m.Born)), slog.Int64("position", int64(record.At)))
+		if r.Joined != nil {
+			r.Joined(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/presence/socket.go
@@ -0,0 +1,100 @@
+package presence
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/group"
+)
+
+// largest is the largest datagram that is read.
+const largest = 2048
+
+// Socket sends and takes datagrams. Make it with Listen.
+type Socket struct {
+	box  graniteknot.BoxName
+	born graniteknot.Incarnation
+	conn *net.UDPConn
+	// sequence counts the datagrams of this life.
+	sequence atomic.Uint64
+	// sent and received count bytes of datagrams.
+	sent, received atomic.Uint64
+	group          group.Group
+
+	mu sync.Mutex
+	// parsed keeps addresses that were parsed.
+	parsed map[graniteknot.Address]netip.AddrPort
+}
+
+// Listen opens the socket and hands each datagram to take.
+func Listen(ctx context.Context, a graniteknot.Address, box graniteknot.BoxName, born graniteknot.Incarnation, log *eventlog.Log, take func(*Message)) (*Socket, error) {
+	var config net.ListenConfig
+	conn, err := config.ListenPacket(ctx, "udp4", string(a))
+	if err != nil {
+		return nil, err
+	}
+	s := &Socket{box: box, born: born, conn: conn.(*net.UDPConn), parsed: map[graniteknot.Address]netip.AddrPort{}} //nolint:forcetypeassert // "udp4" gives no other.
+	s.group.Go(func(context.Context) { s.read(log, take) })
+	return s, nil
+}
+
+func (s *Socket) read(log *eventlog.Log, take func(*Message)) {
+	buffer := make([]byte, largest)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		s.received.Add(uint64(n))
+		m, err := decode(buffer[:n])
+		if err != nil {
+			log.Warn("malformed datagram from " + from.String())
+			continue
+		}
+		take(m)
+	}
+}
+
+// Send sends a message to some addresses. Datagrams may be lost, so a failure
+// to send one is not told either.
+func (s *Socket) Send(m Message, to []graniteknot.Address) {
+	m.Box, m.Born, m.Sequence = s.box, s.born, s.sequence.Add(1)
+	b, err := encode(&m)
+	if err != nil {
+		return
+	}
+	for _, a := range to {
+		if address, ok := s.parse(a); ok {
+			s.sent.Add(uint64(len(b)))
+			_, _ = s.conn.WriteToUDPAddrPort(b, address)
+		}
+	}
+}
+
+func (s *Socket) parse(a graniteknot.Address) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if found, ok := s.parsed[a]; ok {
+		return found, true
+	}
+	parsed, err := netip.ParseAddrPort(string(a))
+	if err != nil {
+		return parsed, false
+	}
+	s.parsed[a] = parsed
+	return parsed, true
+}
+
+// Bytes counts the bytes sent and received.
+func (s *Socket) Bytes() (sent, received uint64) { return s.sent.Load(), s.received.Load() }
+
+// Close closes the socket and waits for its reader.
+func (s *Socket) Close() {
+	_ = s.conn.Close()
+	s.group.Wait()
+}
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -18,6 +18,9 @@
 type Budget struct {
 	// Percent is how many retries a hundred first attempts allow.
 	Percent func() int64
+	// Burst is what the budget holds at most, in retries, and half of which a
+	// new one holds; nil is the package's own figures.
+	Burst func() float64
 	// Unlimited allows every retry, for the baseline of benchmarks.
 	Unlimited bool
 
@@ -35,7 +38,7 @@
 	defer b.mu.Unlock()
 	b.start()
 	if b.Percent != nil {
-		b.held = min(burst, b.held+float64(b.Percent())/100)
+		b.held = min(b.most(), b.held+float64(b.Percent())/100)
 	}
 }
 
@@ -61,9 +64,20 @@
 	if !b.begun {
 		b.begun = true
 		b.held = initial
+		if b.Burst != nil {
+			b.held = b.Burst() / 2
+		}
 	}
 }
 
+// most is what the budget holds at most.
+func (b *Budget) most() float64 {
+	if b.Burst != nil {
+		return b.Burst()
+	}
+	return burst
+}
+
 // Counts returns how many retries were allowed and denied.
 func (b *Budget) Counts() (spent, denied uint64) {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/core/watch/follower.go
@@ -0,0 +1,116 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+const (
+	// firstRetry and longestRetry bound the pause after a failed call, which
+	// doubles. Calls are dear, and a key must not be trusted for long.
+	firstRetry   = 100 * time.Millisecond
+	longestRetry = 500 * time.Millisecond
+)
+
+// Follower follows one topic. Set the exported fields.
+type Follower struct {
+	Store  graniteknot.KeyedStore
+	Topic  graniteknot.Topic
+	Health *Health
+	// Wait is how long a read waits for a record.
+	Wait time.Duration
+	// Pause is the time between two reads.
+	Pause time.Duration
+	// Newest takes the newest record of each key, Next records that follow, of
+	// which there may be none; the read that returned them began at the time.
+	Newest func(records []graniteknot.KeyedRecord, began time.Time)
+	Next   func(records []graniteknot.KeyedRecord, began time.Time)
+	// Failed notes a failed call; nil for nothing.
+	Failed func(err error)
+
+	synced bool
+	from   graniteknot.Position
+	retry  time.Duration
+}
+
+// Run follows the topic until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.Pause
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			pause = f.failed(err)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context) error {
+	began := time.Now()
+	if !f.synced {
+		page, err := f.Store.Newest(ctx, f.Topic)
+		if err != nil {
+			return f.note(ctx, began, err)
+		}
+		f.good()
+		f.synced, f.from = true, page.End
+		f.Newest(page.Records, began)
+		return nil
+	}
+	page, err := f.Store.Read(ctx, f.Topic, f.from, f.Wait)
+	if errors.Is(err, graniteknot.ErrTrimmed) {
+		f.good()
+		f.synced = false
+		return nil
+	}
+	if err != nil {
+		return f.note(ctx, began, err)
+	}
+	f.good()
+	if n := len(page.Records); n > 0 {
+		f.from = page.Records[n-1].At + 1
+	} else if page.End < f.from {
+		// The topic was begun anew.
+		f.synced = false
+		return nil
+	}
+	f.Next(page.Records, began)
+	return nil
+}
+
+func (f *Follower) good() {
+	f.retry = 0
+	f.Health.Good(time.Now())
+}
+
+func (f *Follower) note(ctx context.Context, began time.Time, err error) error {
+	if ctx.Err() == nil {
+		f.Health.Bad(began, err)
+	}
+	return err
+}
+
+// failed returns how long to wait before the next call.
+func (f *Follower) failed(err error) time.Duration {
+	if f.Failed != nil {
+		f.Failed(err)
+	}
+	f.retry = min(max(2*f.retry, firstRetry), longestRetry)
+	return f.retry/2 + time.Duration(rand.Int64N(int64(f.retry)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/core/watch/health.go
@@ -0,0 +1,63 @@
+package watch
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"graniteknot.org/go/internal/core/eventlog"
+)
+
+// Health knows whether the store answers this process. Set Log; the zero rest
+// works.
+type Health struct {
+	Log *eventlog.Log
+
+	mu sync.Mutex
+	// down is when the first call of the present outage began; zero while the
+	// store answers.
+	down time.Time
+	// back is when the store answered again after the last outage.
+	back time.Time
+	// failures counts failed calls in a row.
+	failures int
+}
+
+// Good notes a call that the store answered.
+func (h *Health) Good(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures = 0
+	if h.down.IsZero() {
+		return
+	}
+	h.Log.Info("store regained", slog.Duration("away", now.Sub(h.down)))
+	h.down, h.back = time.Time{}, now
+}
+
+// Bad notes a call that the store did not answer, or refused.
+func (h *Health) Bad(began time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures++
+	if !h.down.IsZero() {
+		return
+	}
+	h.down = began
+	h.Log.Warn("store lost", slog.String("error", err.Error()))
+}
+
+// Doubtful tells whether the store is away, or was within the given time.
+func (h *Health) Doubtful(now time.Time, within time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.down.IsZero() || !h.back.IsZero() && now.Sub(h.back) < within
+}
+
+// Back returns when the store answered again after the last outage; false while
+// it is away.
+func (h *Health) Back() (time.Time, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.back, h.down.IsZero()
+}
--- a/internal/standin/boxes/list.go
+++ b/internal/standin/boxes/list.go
@@ -10,7 +10,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/platform"
+	"graniteknot.org/go/internal/core/services"
 )
 
 // List is the list. The zero value is empty and shows changes at once.
@@ -59,11 +59,11 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		answer := make([]platform.Box, len(boxes))
+		answer := make([]services.Box, len(boxes))
 		for i, b := range boxes {
-			answer[i] = platform.Box{Name: b.Name, Zone: b.Zone, Address: b.Address, State: "live"}
+			answer[i] = services.Box{Name: b.Name, Zone: b.Zone, Address: b.Address, State: "live"}
 			if b.State == graniteknot.BoxLeaving {
-				answer[i].State = platform.StateLeaving
+				answer[i].State = services.StateLeaving
 			}
 		}
 		_ = json.NewEncoder(w).Encode(answer)
--- a/internal/standin/logstore/handler.go
+++ b/internal/standin/logstore/handler.go
@@ -9,7 +9,7 @@
 	"github.com/gorilla/mux"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/platform"
+	"graniteknot.org/go/internal/core/services"
 )
 
 // FaultsPath switches faults, with a JSON form of Faults.
@@ -20,8 +20,8 @@
 // Handler serves the store over the platform's protocol.
 func (s *Store) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc(platform.RecordsPath, s.serveAppend).Methods(http.MethodPost)
-	r.HandleFunc(platform.RecordsPath, s.serveRead).Methods(http.MethodGet)
+	r.HandleFunc(services.RecordsPath, s.serveAppend).Methods(http.MethodPost)
+	r.HandleFunc(services.RecordsPath, s.serveRead).Methods(http.MethodGet)
 	r.HandleFunc(FaultsPath, s.serveFaults).Methods(http.MethodPost)
 	return r
 }
@@ -39,7 +39,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(platform.Appended{Offset: offset})
+	_ = json.NewEncoder(w).Encode(services.Appended{Offset: offset})
 }
 
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -54,9 +54,9 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	answer := platform.Records{First: page.First, Next: page.Next}
+	answer := services.Records{First: page.First, Next: page.Next}
 	for _, record := range page.Records {
-		answer.Records = append(answer.Records, platform.Record(record))
+		answer.Records = append(answer.Records, services.Record(record))
 	}
 	_ = json.NewEncoder(w).Encode(answer)
 }
