Expert maps on real groups: sidecars, a keeper fenced by the log, expertmap/held

A sidecar beside each rank now reads its own rank's counts and gives it orders, free; one of them keeps the group's map. It claims through the store (the record's position is the fence that every order carries), decides from what the ranks show (expertmap/held: prepare, hold one rank, arm all, go; roll forward once the hold is seen), and plans with planner.PlanNext, which obeys the bound of new experts a rank and set. Sidecars tell gateways their load every 120 ms.

--- a/cmd/graniteknot/cmd/gateway.go
+++ b/cmd/graniteknot/cmd/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -9,9 +10,11 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/directapp"
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/platform"
 )
 
@@ -23,6 +26,11 @@
 		"Run on an entry box of the users' platform: take callers' requests straight to targets.")
 }
 
+func registerSidecar(app *kingpin.Application, commands registry) {
+	registerDirect(app, commands, directconf.RoleSidecar,
+		"Run beside a target on the users' platform: tell the gateways its load, and keep its group's expert map.")
+}
+
 // registerDirect adds the command of a role that works straight on targets.
 func registerDirect(app *kingpin.Application, commands registry, role directconf.Role, help string) {
 	clause := app.Command(string(role), help)
@@ -38,9 +46,12 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	config.Role = role
+	if config.Role != role {
+		return &exitError{code: exitUsage, err: fmt.Errorf("%s: [process] role: expected %s", file, role)}
+	}
 	p, err := directapp.New(directapp.Parts{
 		Config: config, Store: platform.NewStore(config.Store), Translator: platform.Dialect{},
+		Rank:  func(a graniteknot.Address) ranks.Rank { return platform.NewRank(a) },
 		Lines: eventlog.NewWriter(c.out),
 	})
 	if err != nil {
--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -87,6 +87,7 @@
 	registerEntry(app, commands)
 	registerAgent(app, commands)
 	registerGateway(app, commands)
+	registerSidecar(app, commands)
 	registerDev(app, commands)
 	registerSettings(app, commands)
 	registerAddresses(app, commands)
--- /dev/null
+++ b/expertmap/held/decide.go
@@ -0,0 +1,133 @@
+package held
+
+import graniteknot "graniteknot.org/go"
+
+// Phase says how far a switch is.
+type Phase uint8
+
+// The phases.
+const (
+	// PhaseClosed groups are not whole, or do not run.
+	PhaseClosed Phase = iota
+	// PhaseIdle groups run one map and have nothing to do.
+	PhaseIdle
+	// PhasePreparing waits until all ranks have loaded the map.
+	PhasePreparing
+	// PhaseHolding waits until a step is seen to be held.
+	PhaseHolding
+	// PhaseArming waits until all ranks are seen to be armed.
+	PhaseArming
+	// PhaseReleasing lets the held step begin.
+	PhaseReleasing
+	// PhaseArmed waits until the armed step begins.
+	PhaseArmed
+)
+
+var phaseWords = [...]string{"closed", "idle", "preparing", "holding", "arming", "releasing", "armed"}
+
+// String returns the word used in logs.
+func (p Phase) String() string { return phaseWords[p] }
+
+// Decision is what the ranks' states ask for.
+type Decision struct {
+	Phase  Phase
+	Orders []Order
+}
+
+// Wish is what the keeper would like.
+type Wish struct {
+	// Version is the map to switch to; 0 for none.
+	Version Version
+	// Home is the rank that holds, and Lead how many steps ahead.
+	Home graniteknot.Rank
+	Lead graniteknot.Step
+	// Hold is the step that the keeper asked to hold and has not seen passed;
+	// Never for none. The same step is asked for until then, since the order may
+	// be carried out late.
+	Hold graniteknot.Step
+}
+
+// Decide returns the orders that all ranks' states ask for. The states must have
+// been read under the keeper's fence.
+func Decide(states []State, w Wish) Decision {
+	g, whole := sum(states)
+	if !whole {
+		return Decision{}
+	}
+	switch {
+	case g.armed != 0:
+		return g.rollForward(states, g.armed, g.armedAt)
+	case g.apart:
+		// The ranks were read while the group passed from one map to the next.
+		return Decision{Phase: PhaseArmed}
+	case g.held != Never && g.prepared != 0:
+		return g.rollForward(states, g.prepared, g.held)
+	case g.held != Never:
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
+	case g.prepared != 0 && (w.Version == 0 || g.prepared == w.Version):
+		return g.hold(w)
+	case w.Version != 0:
+		return g.prepare(states, w.Version)
+	}
+	return Decision{Phase: PhaseIdle}
+}
+
+// hold asks the home rank to hold a step that has not begun.
+func (g *group) hold(w Wish) Decision {
+	step := w.Hold
+	if step <= g.step {
+		step = g.step + max(w.Lead, 1)
+	}
+	return Decision{Phase: PhaseHolding, Orders: []Order{{Kind: KindHold, Rank: w.Home, Step: step, Epoch: g.epoch}}}
+}
+
+func (g *group) prepare(states []State, v Version) Decision {
+	d := Decision{Phase: PhasePreparing}
+	for r, s := range states {
+		if s.Prepared < v {
+			d.Orders = append(d.Orders, Order{Kind: KindPrepare, Rank: graniteknot.Rank(r), Version: v, Epoch: g.epoch})
+		}
+	}
+	return d
+}
+
+// rollForward arms all ranks and then lets the step begin.
+func (g *group) rollForward(states []State, v Version, at graniteknot.Step) Decision {
+	d := Decision{Phase: PhaseArming}
+	if g.held == Never && g.step < at && !g.allArmed(states, v) {
+		// Nothing keeps the step from beginning: it is held first.
+		d.Orders = append(d.Orders, Order{Kind: KindHold, Step: at, Epoch: g.epoch})
+	}
+	for r, s := range states {
+		if s.Armed != v && s.Mapping != v {
+			d.Orders = append(d.Orders, Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch})
+		}
+	}
+	if len(d.Orders) > 0 {
+		return d
+	}
+	if g.held == Never {
+		return Decision{Phase: PhaseArmed}
+	}
+	return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
+}
+
+func (g *group) allArmed(states []State, v Version) bool {
+	for _, s := range states {
+		if s.Armed != v && s.Mapping != v {
+			return false
+		}
+	}
+	return true
+}
+
+// release lets every rank that holds a step go on.
+func (g *group) release(states []State) []Order {
+	var out []Order
+	for r, s := range states {
+		if s.Held != Never {
+			out = append(out, Order{Kind: KindGo, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: g.epoch})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/expertmap/held/state.go
@@ -0,0 +1,59 @@
+package held
+
+import graniteknot "graniteknot.org/go"
+
+// Version numbers the maps of a group; each is used for one map only, and a
+// newer map has a larger one. 0 is the map that a group opens with.
+type Version int64
+
+// Epoch numbers the formations of a group; each forgets all maps.
+type Epoch int64
+
+// Never is the step that no rank holds.
+const Never graniteknot.Step = 0
+
+// State is what a rank shows.
+type State struct {
+	Epoch Epoch
+	// Open tells that the group runs.
+	Open bool
+	// Step is the last pass that was begun.
+	Step graniteknot.Step
+	// Mapping is the map in force, Prepared the one that is loaded beside it; 0
+	// for none.
+	Mapping, Prepared Version
+	// Armed, if not 0, takes force as ArmedAt begins.
+	Armed   Version
+	ArmedAt graniteknot.Step
+	// Held is the step that the rank does not begin; Never for none.
+	Held graniteknot.Step
+}
+
+// Kind says what an order does.
+type Kind uint8
+
+// The kinds of orders.
+const (
+	// KindPrepare loads a map beside the one in force.
+	KindPrepare Kind = iota
+	// KindHold keeps the group from beginning a step.
+	KindHold
+	// KindArm brings a prepared map into force as a step begins.
+	KindArm
+	// KindGo lets a held step begin.
+	KindGo
+)
+
+var kindWords = [...]string{"prepare", "hold", "arm", "go"}
+
+// String returns the word used in logs.
+func (k Kind) String() string { return kindWords[k] }
+
+// Order is one order to one rank.
+type Order struct {
+	Kind    Kind
+	Rank    graniteknot.Rank
+	Version Version
+	Step    graniteknot.Step
+	Epoch   Epoch
+}
--- a/internal/core/directapp/app.go
+++ b/internal/core/directapp/app.go
@@ -12,6 +12,8 @@
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/gateway"
+	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/core/sidecar"
 )
 
 const (
@@ -24,11 +26,12 @@
 
 // Parts are what the command line brings.
 type Parts struct {
-	Config *directconf.Config
-	Store  graniteknot.KeyedStore
-	// Translator is needed by gateways.
+	Config     *directconf.Config
+	Store      graniteknot.KeyedStore
 	Translator gateway.Translator
-	Lines      *eventlog.Writer
+	// Rank reaches the replica at an address; sidecars need it.
+	Rank  func(graniteknot.Address) ranks.Rank
+	Lines *eventlog.Writer
 }
 
 // Process is a gateway or a sidecar. Make it with New.
@@ -43,14 +46,18 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(p.Config.Memory)))
 	}
 	log := eventlog.New(p.Lines, p.Config.Box, string(p.Config.Role))
-	app := fx.New(
-		fx.NopLogger,
-		fx.Supply(gateway.Parts{
-			Config: p.Config, Store: p.Store, Translator: p.Translator, Log: log, Born: graniteknot.Incarnation(rand.Uint64()),
-		}),
-		fx.Provide(gateway.New),
-		fx.Invoke(runGateway),
+	born := graniteknot.Incarnation(rand.Uint64())
+	role := fx.Module("gateway",
+		fx.Supply(gateway.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Log: log, Born: born}),
+		fx.Provide(gateway.New), fx.Invoke(runGateway),
 	)
+	if p.Config.Role == directconf.RoleSidecar {
+		role = fx.Module("sidecar",
+			fx.Supply(sidecar.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Rank: p.Rank, Log: log, Born: born}),
+			fx.Provide(sidecar.New), fx.Invoke(runSidecar),
+		)
+	}
+	app := fx.New(fx.NopLogger, role)
 	return &Process{app: app, lines: p.Lines}, app.Err()
 }
 
@@ -64,11 +71,21 @@
 	return err
 }
 
-func runGateway(l fx.Lifecycle, g *gateway.Gateway) {
+// role is what gateway and sidecar have in common here.
+type role interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context)
+}
+
+func runGateway(l fx.Lifecycle, g *gateway.Gateway) { run(l, g) }
+
+func runSidecar(l fx.Lifecycle, s *sidecar.Sidecar) { run(l, s) }
+
+func run(l fx.Lifecycle, r role) {
 	l.Append(fx.Hook{
-		OnStart: g.Start,
+		OnStart: r.Start,
 		OnStop: func(ctx context.Context) error {
-			g.Stop(ctx)
+			r.Stop(ctx)
 			return nil
 		},
 	})
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -140,12 +140,14 @@
 	return catalog.Replica{}, false
 }
 
-// Report takes a replica's own report.
-func (t *Table) Report(id catalog.ReplicaID, l Load) {
+// Report takes the report of the replica at an address.
+func (t *Table) Report(a graniteknot.Address, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if x := t.targets[id]; x != nil && l.Taken.After(x.load.Taken) {
-		x.load = l
+	for _, x := range t.targets {
+		if x.replica.Address == a && l.Taken.After(x.load.Taken) {
+			x.load = l
+		}
 	}
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -140,7 +140,7 @@
 	now := time.Now()
 	g.Members.Heard(m, now)
 	if d := m.Load; d != nil {
-		g.Fleet.Report(catalog.ReplicaID(d.Replica), fleet.Load{
+		g.Fleet.Report(d.Target, fleet.Load{
 			Running: d.Running, Waiting: d.Waiting, Held: graniteknot.Tokens(d.Held), Pace: float64(d.Pace),
 			Step: graniteknot.Step(d.Step), Taken: now,
 		})
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -22,12 +22,15 @@
 
 // Digest is a replica's load, as its sidecar read it just before sending.
 type Digest struct {
-	Replica string  `cbor:"1,keyasint"`
-	Running int     `cbor:"2,keyasint,omitempty"`
-	Waiting int     `cbor:"3,keyasint,omitempty"`
-	Held    int64   `cbor:"4,keyasint,omitempty"`
-	Pace    float32 `cbor:"5,keyasint,omitempty"`
-	Step    uint64  `cbor:"6,keyasint,omitempty"`
+	// Target is the replica's address.
+	Target  graniteknot.Address `cbor:"1,keyasint"`
+	Running int                 `cbor:"2,keyasint,omitempty"`
+	Waiting int                 `cbor:"3,keyasint,omitempty"`
+	Held    int64               `cbor:"4,keyasint,omitempty"`
+	Pace    float32             `cbor:"5,keyasint,omitempty"`
+	Step    uint64              `cbor:"6,keyasint,omitempty"`
+	// Open tells that the replica's lock-step group runs, or that it has none.
+	Open bool `cbor:"7,keyasint,omitempty"`
 }
 
 func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
--- /dev/null
+++ b/internal/core/ranks/doer.go
@@ -0,0 +1,202 @@
+package ranks
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/wire"
+	"graniteknot.org/go/planner"
+)
+
+// orderTime bounds an order to the own rank, which is on the same box.
+const orderTime = 500 * time.Millisecond
+
+// Doer reads its rank and gives it orders for the keeper. Set the exported
+// fields. It implements wire.Ranks.
+type Doer struct {
+	Rank Rank
+	// Target is the rank's address, for keepers that have to go around a
+	// sidecar.
+	Target graniteknot.Address
+	Log    *eventlog.Log
+
+	mu sync.Mutex
+	// fence is the highest that was heard, heard when.
+	fence graniteknot.Position
+	heard time.Time
+}
+
+// Fence returns the highest fence heard, and when.
+func (d *Doer) Fence() (graniteknot.Position, time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fence, d.heard
+}
+
+// admit takes a keeper's fence, or returns the higher one that is known.
+func (d *Doer) admit(fence graniteknot.Position) (higher graniteknot.Position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if fence < d.fence {
+		return d.fence
+	}
+	if fence > d.fence {
+		d.Log.Info("keeper", slog.Int64("fence", int64(fence)), slog.Int64("former", int64(d.fence)))
+	}
+	d.fence, d.heard = fence, time.Now()
+	return 0
+}
+
+// Look implements wire.Ranks.
+func (d *Doer) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookReply, error) {
+	if r.GetFence() != 0 {
+		if higher := d.admit(graniteknot.Position(r.GetFence())); higher != 0 {
+			return &wire.LookReply{Fenced: int64(higher)}, nil
+		}
+	}
+	report, err := d.Rank.Report(ctx)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.LookReply{
+		Group: string(report.Group), Rank: int32(report.Rank), Size: int32(report.Size), Target: string(d.Target),
+		State: stateToWire(report.State), Pace: report.Pace,
+	}
+	if r.GetCounts() {
+		if reply.Counts, err = d.Rank.Counts(ctx); err != nil {
+			return nil, err
+		}
+	}
+	if r.GetLists() {
+		lists, err := d.Rank.Lists(ctx)
+		if err != nil {
+			return nil, err
+		}
+		reply.Lists = listsToWire(lists)
+	}
+	return reply, nil
+}
+
+// Give implements wire.Ranks.
+func (d *Doer) Give(ctx context.Context, r *wire.GiveRequest) (*wire.GiveReply, error) {
+	if higher := d.admit(graniteknot.Position(r.GetFence())); higher != 0 {
+		return &wire.GiveReply{Result: int32(ResultFenced), Fenced: int64(higher)}, nil
+	}
+	c := commandOf(r)
+	result := d.give(ctx, c)
+	return &wire.GiveReply{Result: int32(result)}, nil
+}
+
+func (d *Doer) give(ctx context.Context, c *Command) Result {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	began := time.Now()
+	result, err := d.Rank.Order(ctx, c)
+	fields := []slog.Attr{
+		slog.String("order", c.Kind.String()), slog.Int64("map", int64(c.Version)), slog.Uint64("step", uint64(c.Step)),
+		slog.Int64("epoch", int64(c.Epoch)), slog.Int64("fence", int64(c.Fence)), slog.String("result", result.String()),
+		slog.Duration("took", time.Since(began)),
+	}
+	if err != nil {
+		d.Log.Warn("order", append(fields, slog.String("error", err.Error()))...)
+		return result
+	}
+	d.Log.Info("order", fields...)
+	return result
+}
+
+func stateToWire(s held.State) *wire.RankState {
+	return &wire.RankState{
+		Epoch: int64(s.Epoch), Open: s.Open, Step: uint64(s.Step), Mapping: int64(s.Mapping), Prepared: int64(s.Prepared),
+		Armed: int64(s.Armed), ArmedAt: uint64(s.ArmedAt), Held: uint64(s.Held),
+	}
+}
+
+func stateOf(s *wire.RankState) held.State {
+	return held.State{
+		Epoch: held.Epoch(s.GetEpoch()), Open: s.GetOpen(), Step: graniteknot.Step(s.GetStep()),
+		Mapping: held.Version(s.GetMapping()), Prepared: held.Version(s.GetPrepared()), Armed: held.Version(s.GetArmed()),
+		ArmedAt: graniteknot.Step(s.GetArmedAt()), Held: graniteknot.Step(s.GetHeld()),
+	}
+}
+
+func listsToWire(lists [][]graniteknot.Expert) []*wire.ExpertList {
+	out := make([]*wire.ExpertList, len(lists))
+	for i, list := range lists {
+		out[i] = &wire.ExpertList{}
+		for _, e := range list {
+			out[i].Experts = append(out[i].Experts, int32(e))
+		}
+	}
+	return out
+}
+
+func listsOf(lists []*wire.ExpertList) [][]graniteknot.Expert {
+	out := make([][]graniteknot.Expert, len(lists))
+	for i, list := range lists {
+		for _, e := range list.GetExperts() {
+			out[i] = append(out[i], graniteknot.Expert(e))
+		}
+	}
+	return out
+}
+
+func commandOf(r *wire.GiveRequest) *Command {
+	c := &Command{
+		Order: held.Order{
+			Kind: held.Kind(r.GetKind()), Version: held.Version(r.GetVersion()), Step: graniteknot.Step(r.GetStep()),
+			Epoch: held.Epoch(r.GetEpoch()),
+		},
+		Fence: graniteknot.Position(r.GetFence()),
+	}
+	if n := len(r.GetPlacement()); n > 0 {
+		c.Placement = placementOf(r)
+	}
+	return c
+}
+
+func placementOf(r *wire.GiveRequest) *planner.Placement {
+	ranks, places := int(r.GetRanks()), int(r.GetPlaces())
+	if ranks <= 0 || places <= 0 || len(r.GetPlacement())%(ranks*places) != 0 {
+		return nil
+	}
+	s := planner.Shape{Layers: len(r.GetPlacement()) / (ranks * places), Ranks: ranks, Slots: places}
+	p := planner.NewDealt(s)
+	at := 0
+	for l := range s.Layers {
+		for rank := range ranks {
+			experts := make([]graniteknot.Expert, places)
+			for i := range experts {
+				experts[i] = graniteknot.Expert(r.GetPlacement()[at])
+				at++
+			}
+			p.Set(graniteknot.Layer(l), graniteknot.Rank(rank), experts)
+		}
+	}
+	return p
+}
+
+// commandToWire is the inverse of commandOf.
+func commandToWire(c *Command) *wire.GiveRequest {
+	r := &wire.GiveRequest{
+		Fence: int64(c.Fence), Kind: int32(c.Kind), Version: int64(c.Version), Step: uint64(c.Step), Epoch: int64(c.Epoch),
+	}
+	if c.Placement == nil {
+		return r
+	}
+	s := c.Placement.Shape
+	r.Ranks, r.Places = int32(s.Ranks), int32(s.Slots)
+	for l := range s.Layers {
+		for rank := range s.Ranks {
+			for _, e := range c.Placement.Rank(graniteknot.Layer(l), graniteknot.Rank(rank)) {
+				r.Placement = append(r.Placement, int32(e))
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/core/ranks/keeper.go
@@ -0,0 +1,318 @@
+package ranks
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/wire"
+	"graniteknot.org/go/planner"
+)
+
+const (
+	// lead is how many passes ahead a step is held: the arms are seen before it
+	// begins, unless the passes are very short, and the group does not stand.
+	lead = 2
+	// fastRound is the time between rounds while a step is held.
+	fastRound = 5 * time.Millisecond
+	// slowRound is the time between rounds while ranks load a map, or have yet
+	// to reach an armed step.
+	slowRound = 60 * time.Millisecond
+	// idleRound is the time between rounds of a group that is not whole.
+	idleRound = 250 * time.Millisecond
+	// planRound is the time between two plans; each takes in the counts since
+	// the one before.
+	planRound = 400 * time.Millisecond
+	// sidecarPatience is how long a sidecar may be silent before its rank is
+	// reached from afar, which costs.
+	sidecarPatience = 500 * time.Millisecond
+	// prepareAgain is when a map is offered again to a rank that does not show
+	// it, beside the time that loading takes.
+	prepareAgain = time.Second
+	// maxSequence bounds the maps of one keeper; see version.
+	maxSequence = 1 << 20
+)
+
+// Parts are what a Keeper is made of.
+type Parts struct {
+	// Fence is higher than any former keeper's.
+	Fence graniteknot.Position
+	// Home is the keeper's own rank, which holds.
+	Home graniteknot.Rank
+	// Engine has experts.
+	Engine  *catalog.Engine
+	Planner *planner.Planner
+	// Members are all ranks, in order.
+	Members []*Member
+	Log     *eventlog.Log
+}
+
+// Keeper keeps one group's map while it holds the highest fence. It is used by
+// one goroutine. Make it with NewKeeper.
+type Keeper struct {
+	Parts
+	// placement is the map in force at mapping.
+	placement *planner.Placement
+	mapping   held.Version
+	epoch     held.Epoch
+	// offered is the map that is being switched to; nil for none.
+	offered *planner.Placement
+	wish    held.Wish
+	// sequence counts this keeper's maps.
+	sequence held.Version
+	// prepared is when each rank was last told to prepare.
+	prepared []time.Time
+	// counts are the last ones of each rank.
+	counts [][]uint64
+	// phase is the last decision's; since is when it began.
+	phase   held.Phase
+	since   time.Time
+	planned time.Time
+	stats   Stats
+}
+
+// Stats is what a keeper did.
+type Stats struct {
+	Switches, Moves int
+}
+
+// NewKeeper returns a keeper that does nothing until Run.
+func NewKeeper(p Parts) *Keeper {
+	return &Keeper{Parts: p, prepared: make([]time.Time, len(p.Members)), counts: make([][]uint64, len(p.Members))}
+}
+
+// version returns the number of the next map. Since fences grow from keeper to
+// keeper, no two maps share a number.
+func (k *Keeper) version() held.Version {
+	k.sequence++
+	return held.Version(k.Fence)*maxSequence + k.sequence
+}
+
+// Run keeps the map until ctx is done or another keeper is heard of, whose fence
+// it returns.
+func (k *Keeper) Run(ctx context.Context) graniteknot.Position {
+	for ctx.Err() == nil {
+		pause, fenced := k.round(ctx)
+		if fenced != 0 {
+			return fenced
+		}
+		sleep(ctx, pause)
+	}
+	return 0
+}
+
+// round reads all ranks and gives the orders that follow. It returns when the
+// next round is due.
+func (k *Keeper) round(ctx context.Context) (time.Duration, graniteknot.Position) {
+	now := time.Now()
+	count := k.phase <= held.PhaseIdle && now.Sub(k.planned) >= planRound
+	looks, whole, fenced := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), Counts: count, Lists: k.placement == nil})
+	if fenced != 0 {
+		return 0, fenced
+	}
+	if !whole {
+		k.enter(held.PhaseClosed)
+		return idleRound, 0
+	}
+	states := make([]held.State, len(looks))
+	for i := range looks {
+		states[i] = looks[i].state
+	}
+	known := k.learn(looks, states)
+	if count {
+		k.planned = now
+		k.observe(looks)
+		if known {
+			k.plan()
+		}
+	}
+	k.wish.Home, k.wish.Lead = k.Home, lead
+	d := held.Decide(states, k.wish)
+	k.enter(d.Phase)
+	if fenced := k.give(ctx, d.Orders, now); fenced != 0 {
+		return 0, fenced
+	}
+	return k.pause(d.Phase), 0
+}
+
+func (k *Keeper) pause(p held.Phase) time.Duration {
+	switch p {
+	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing:
+		return fastRound
+	case held.PhasePreparing, held.PhaseArmed:
+		return slowRound
+	case held.PhaseIdle:
+		return planRound
+	case held.PhaseClosed:
+	}
+	return idleRound
+}
+
+// enter notes a phase and logs it.
+func (k *Keeper) enter(p held.Phase) {
+	if p == k.phase {
+		return
+	}
+	now := time.Now()
+	k.Log.Info("switch", slog.String("phase", p.String()), slog.String("former", k.phase.String()),
+		slog.Int64("map", int64(k.wish.Version)), slog.Int64("in_force", int64(k.mapping)), slog.Int64("epoch", int64(k.epoch)),
+		slog.Int64("fence", int64(k.Fence)), slog.Duration("former_took", now.Sub(k.since)))
+	k.phase, k.since = p, now
+}
+
+// look reads all ranks at once.
+func (k *Keeper) look(ctx context.Context, r *wire.LookRequest) (looks []seen, whole bool, fenced graniteknot.Position) {
+	looks = make([]seen, len(k.Members))
+	errs := make([]error, len(k.Members))
+	var all group.Group
+	for i, m := range k.Members {
+		all.Go(func(context.Context) { looks[i], errs[i] = m.look(ctx, r, sidecarPatience) })
+	}
+	all.Wait()
+	for i := range looks {
+		if looks[i].fenced > k.Fence {
+			return nil, false, looks[i].fenced
+		}
+		if errs[i] != nil {
+			return nil, false, 0
+		}
+	}
+	return looks, true, 0
+}
+
+// learn takes in which map is in force; false when that can't be told yet, and
+// nothing can be planned.
+func (k *Keeper) learn(looks []seen, states []held.State) bool {
+	newest := states[0].Mapping
+	for _, s := range states {
+		if s.Epoch != states[0].Epoch || s.Mapping != newest {
+			// The group is forming, or passing from one map to the next; package
+			// held knows what that means.
+			return k.placement != nil
+		}
+	}
+	if k.placement != nil && states[0].Epoch == k.epoch && newest == k.mapping {
+		return true
+	}
+	switch {
+	case k.placement != nil && states[0].Epoch == k.epoch && newest == k.wish.Version && k.offered != nil:
+		k.placement = k.offered
+		k.stats.Switches++
+	case newest == 0:
+		k.placement = planner.NewDealt(k.Planner.Shape)
+	case !listed(looks):
+		k.placement, k.offered, k.wish.Version = nil, nil, 0
+		return false
+	default:
+		k.placement = k.read(looks)
+	}
+	k.epoch, k.mapping = states[0].Epoch, newest
+	k.offered, k.wish.Version, k.wish.Hold = nil, 0, held.Never
+	clear(k.prepared)
+	return true
+}
+
+// listed tells whether every rank told what it holds.
+func listed(looks []seen) bool {
+	for i := range looks {
+		if len(looks[i].lists) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// read puts the map in force together from what the ranks hold.
+func (k *Keeper) read(looks []seen) *planner.Placement {
+	p := planner.NewDealt(k.Planner.Shape)
+	for r := range looks {
+		for l, experts := range looks[r].lists {
+			p.Set(graniteknot.Layer(l), graniteknot.Rank(r), experts)
+		}
+	}
+	return p
+}
+
+// observe takes in how often experts were chosen since the last look.
+func (k *Keeper) observe(looks []seen) {
+	s := k.Planner.Shape
+	loads := planner.NewLoads(s)
+	for r := range looks {
+		now, before := looks[r].counts, k.counts[r]
+		k.counts[r] = now
+		if len(now) != s.Layers*s.Experts || len(before) != len(now) {
+			continue
+		}
+		for i := range now {
+			if now[i] >= before[i] {
+				loads[i/s.Experts][i%s.Experts] += float64(now[i] - before[i])
+			}
+		}
+	}
+	k.Planner.Observe(loads)
+}
+
+// plan chooses the next map, if one is worth it and none is under way.
+func (k *Keeper) plan() {
+	if k.wish.Version != 0 || k.placement == nil {
+		return
+	}
+	next := k.Planner.PlanNext(k.placement, k.Engine.Experts.Spare)
+	if next.Moves == 0 {
+		return
+	}
+	k.offered, k.wish.Version = next.Placement, k.version()
+	k.stats.Moves += next.Moves
+	k.Log.Info("map planned", slog.Int64("map", int64(k.wish.Version)), slog.Int("moves", next.Moves),
+		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(k.epoch)))
+}
+
+// give gives orders to their ranks at once.
+func (k *Keeper) give(ctx context.Context, orders []held.Order, now time.Time) (fenced graniteknot.Position) {
+	results := make([]Result, len(orders))
+	var all group.Group
+	for i, o := range orders {
+		c := &Command{Order: o, Fence: k.Fence}
+		if o.Kind == held.KindPrepare {
+			if now.Sub(k.prepared[o.Rank]) < k.loading()+prepareAgain {
+				continue
+			}
+			k.prepared[o.Rank] = now
+			c.Placement = k.offered
+		}
+		if o.Kind == held.KindHold {
+			k.wish.Hold = o.Step
+		}
+		all.Go(func(context.Context) { results[i] = k.Members[o.Rank].give(ctx, c) })
+	}
+	all.Wait()
+	for _, r := range results {
+		if r == ResultFenced {
+			return k.Fence + 1
+		}
+	}
+	return 0
+}
+
+// loading is how long a rank takes to load all it may.
+func (k *Keeper) loading() time.Duration {
+	e := k.Engine.Experts
+	if e.Bandwidth <= 0 {
+		return prepareAgain
+	}
+	return time.Duration(float64(e.Spare*e.Sets) * float64(e.Size) / e.Bandwidth * float64(time.Second))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/core/sidecar/keep.go
@@ -0,0 +1,136 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/planner"
+)
+
+const (
+	// keepLook is how often a sidecar looks whether it has to be the keeper.
+	keepLook = 150 * time.Millisecond
+	// keeperSilence is how long a keeper may be silent before rank 0 takes its
+	// place; each further rank waits keeperTurn longer. A keeper looks at its
+	// ranks at least every 400 ms.
+	keeperSilence = 1200 * time.Millisecond
+	keeperTurn    = 300 * time.Millisecond
+	// reportAge is how old the own rank's report may be.
+	reportAge = time.Second
+)
+
+// keep makes the sidecar the keeper of its group whenever the present one is
+// silent for too long.
+func (s *Sidecar) keep(ctx context.Context) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, keepLook)
+		now := time.Now()
+		report, age := s.last(now)
+		if report.Group == "" || age > reportAge || !s.due(report.Rank, began, now) {
+			continue
+		}
+		s.claimAndKeep(ctx, &report)
+		began = time.Now()
+	}
+}
+
+// due tells whether a rank's turn has come to be the keeper.
+func (s *Sidecar) due(r graniteknot.Rank, began, now time.Time) bool {
+	fence, heard := s.doer.Fence()
+	if fence == 0 {
+		// Nobody was heard of in this life: rank 0 begins at once.
+		return r == 0 || now.Sub(began) > 2*keeperSilence+time.Duration(r)*keeperTurn
+	}
+	return now.Sub(heard) > keeperSilence+time.Duration(r)*keeperTurn
+}
+
+// claim is the record that makes a sidecar the keeper; its position in the
+// topic is the fence.
+type claim struct {
+	Box  graniteknot.BoxName     `json:"box"`
+	Born graniteknot.Incarnation `json:"born"`
+}
+
+// claimAndKeep is the keeper until another one is heard of.
+func (s *Sidecar) claimAndKeep(ctx context.Context, report *ranks.Report) {
+	engine := s.engine(ctx)
+	if engine == nil {
+		return
+	}
+	members, whole := s.find(ctx, report)
+	if !whole {
+		return
+	}
+	value, err := json.Marshal(claim{Box: s.Config.Box, Born: s.Born})
+	if err != nil {
+		return
+	}
+	at, err := s.Store.Append(ctx, graniteknot.TopicKeepers, graniteknot.KeyedRecord{Key: string(report.Group), Value: value})
+	if err != nil {
+		// A claim that is added later without an answer only skips a number.
+		s.Log.Warn("keeper claim", slog.String("group", string(report.Group)), slog.String("error", err.Error()))
+		return
+	}
+	shape := planner.Shape{
+		Layers: engine.Experts.Sets, Experts: engine.Experts.Experts, Ranks: report.Size, Slots: engine.Experts.Places,
+	}
+	k := ranks.NewKeeper(ranks.Parts{
+		// Positions begin at 0, fences at 1.
+		Fence: at + 1, Home: report.Rank, Engine: engine, Log: s.Log, Members: members,
+		Planner: &planner.Planner{Shape: shape},
+	})
+	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
+	fenced := k.Run(ctx)
+	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int64("other", int64(fenced)))
+}
+
+// engine reads the own service's engine from the settings; nil when it can't be
+// read now, or has no experts.
+func (s *Sidecar) engine(ctx context.Context) *catalog.Engine {
+	page, err := s.Store.Newest(ctx, graniteknot.TopicSettings)
+	if err != nil {
+		s.Log.Warn("read settings", slog.String("error", err.Error()))
+		return nil
+	}
+	for _, r := range page.Records {
+		tree, err := s.Translator.Tree(r)
+		if err != nil {
+			s.Log.Warn("malformed configuration", slog.Int64("position", int64(r.At)), slog.String("error", err.Error()))
+			continue
+		}
+		if tree == nil {
+			continue
+		}
+		service := tree.Service(s.Config.TargetService)
+		if service != nil && service.Engine != nil && service.Engine.Experts != nil {
+			return service.Engine
+		}
+	}
+	return nil
+}
+
+// find asks all sidecars which rank is theirs; false unless all ranks of the
+// group are found.
+func (s *Sidecar) find(ctx context.Context, report *ranks.Report) ([]*ranks.Member, bool) {
+	addresses := []graniteknot.Address{s.Config.Peers}
+	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
+		addresses = append(addresses, m.Peers)
+	}
+	return ranks.Find(ctx, report.Group, report.Size, addresses, s.Rank)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/core/sidecar/sidecar.go
@@ -0,0 +1,167 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/wire"
+)
+
+const (
+	// digestPeriod is the time between two digests to the gateways. It is about
+	// a pass of the engines, in which their load can change.
+	digestPeriod = 120 * time.Millisecond
+	// headTime bounds the head of a call from another sidecar.
+	headTime = time.Second
+	// stopTime bounds a planned stop, in which nothing of value is under way.
+	stopTime = 500 * time.Millisecond
+)
+
+// Translator knows the words of a platform.
+type Translator interface {
+	// Tree reads a settings record; nil for a record that is no configuration.
+	Tree(r graniteknot.KeyedRecord) (*catalog.Tree, error)
+}
+
+// Parts are what a Sidecar is made of.
+type Parts struct {
+	Config     *directconf.Config
+	Store      graniteknot.KeyedStore
+	Translator Translator
+	// Rank reaches the replica at an address.
+	Rank func(graniteknot.Address) ranks.Rank
+	Log  *eventlog.Log
+	Born graniteknot.Incarnation
+}
+
+// Sidecar is the process. Make it with New.
+type Sidecar struct {
+	Parts
+	Members presence.View
+	Health  watch.Health
+
+	own    ranks.Rank
+	doer   *ranks.Doer
+	socket *presence.Socket
+	server *http.Server
+	group  group.Group
+
+	mu sync.Mutex
+	// report is the last one of the own rank, read when.
+	report ranks.Report
+	read   time.Time
+}
+
+// New returns a sidecar that does nothing until Start.
+func New(p Parts) *Sidecar {
+	s := &Sidecar{Parts: p, own: p.Rank(p.Config.Target)}
+	s.Health.Log = p.Log
+	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log}
+	return s
+}
+
+// Start opens the addresses and begins the sidecar's own work.
+func (s *Sidecar) Start(ctx context.Context) error {
+	c := s.Config
+	socket, err := presence.Listen(ctx, c.Peers, c.Box, s.Born, s.Log, s.heard)
+	if err != nil {
+		return err
+	}
+	s.socket = socket
+	if err := s.listen(ctx); err != nil {
+		return err
+	}
+	registrar := &presence.Registrar{
+		Store: s.Store, View: &s.Members, Health: &s.Health, Log: s.Log,
+		Self: presence.Member{Box: c.Box, Role: presence.RoleSidecar, Zone: c.Zone, Peers: c.Peers, Born: s.Born},
+	}
+	s.group.Go(registrar.Register)
+	s.group.Go(registrar.Follow)
+	s.group.Go(s.digests)
+	s.group.Go(s.keep)
+	s.Log.Info("started", slog.String("target", string(c.Target)), slog.String("service", string(c.TargetService)),
+		slog.String("zone", string(c.Zone)), slog.Uint64("born", uint64(s.Born)))
+	return nil
+}
+
+func (s *Sidecar) listen(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp4", string(s.Config.Peers))
+	if err != nil {
+		return err
+	}
+	s.server = &http.Server{Handler: wire.NewRanksServer(s.doer), ReadHeaderTimeout: headTime}
+	s.group.Go(func(context.Context) { _ = s.server.Serve(listener) })
+	return nil
+}
+
+// heard takes a gateway's datagram, which makes it known.
+func (s *Sidecar) heard(m *presence.Message) { s.Members.Heard(m, time.Now()) }
+
+// digests tells the gateways how busy the target is.
+func (s *Sidecar) digests(ctx context.Context) {
+	ticker := time.NewTicker(digestPeriod)
+	defer ticker.Stop()
+	lost := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		report, err := s.own.Report(ctx)
+		if (err != nil) != lost {
+			lost = err != nil
+			s.Log.Warn("target", slog.Bool("lost", lost), slog.Any("error", err))
+		}
+		if err == nil {
+			s.tell(&report)
+		}
+	}
+}
+
+func (s *Sidecar) tell(r *ranks.Report) {
+	s.mu.Lock()
+	s.report, s.read = *r, time.Now()
+	s.mu.Unlock()
+	var to []graniteknot.Address
+	for _, m := range s.Members.Members(presence.RoleGateway, "") {
+		to = append(to, m.Peers)
+	}
+	s.socket.Send(presence.Message{Load: &presence.Digest{
+		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Held: int64(r.Tokens), Pace: float32(r.Pace),
+		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open,
+	}}, to)
+}
+
+// last returns the last report and its age.
+func (s *Sidecar) last(now time.Time) (ranks.Report, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report, now.Sub(s.read)
+}
+
+// Stop ends the sidecar.
+func (s *Sidecar) Stop(ctx context.Context) {
+	s.Log.Info("leaving")
+	bounded, cancel := context.WithTimeout(ctx, stopTime)
+	defer cancel()
+	if err := s.server.Shutdown(bounded); err != nil {
+		_ = s.server.Close()
+	}
+	s.group.Stop()
+	s.socket.Close()
+	s.Log.Info("stopped")
+}
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -3,4 +3,4 @@
 // packages that send and receive them.
 package wire
 
-//go:generate protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. wire.proto
+//go:generate protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. wire.proto ranks.proto
--- a/planner/work.go
+++ b/planner/work.go
@@ -22,6 +22,8 @@
 	holders []uint64
 	// held is the sum of the loads of the ranks that hold each expert.
 	held []float64
+	// bound, if it is set, says which changes may be made.
+	bound *bound
 }
 
 func (w *work) reset(s Shape, slots []graniteknot.Expert, load LayerLoad) {
@@ -31,6 +33,9 @@
 	w.holders = cleared(w.holders, s.Experts)
 	w.held = cleared(w.held, s.Experts)
 	for i, e := range slots {
+		if e == Blank {
+			continue
+		}
 		w.replicas[e]++
 		w.holders[e] |= 1 << (i / s.Slots)
 	}
@@ -39,10 +44,14 @@
 		w.shares[e] = load[e] / float64(n)
 	}
 	for i, e := range slots {
-		w.rank[i/s.Slots] += w.shares[e]
+		if e != Blank {
+			w.rank[i/s.Slots] += w.shares[e]
+		}
 	}
 	for i, e := range slots {
-		w.held[e] += w.rank[i/s.Slots]
+		if e != Blank {
+			w.held[e] += w.rank[i/s.Slots]
+		}
 	}
 }
 
@@ -98,7 +107,7 @@
 			continue
 		}
 		for i, e := range w.on(hot) {
-			if !w.holds(other, e) {
+			if e != Blank && !w.holds(other, e) {
 				w.bestWith(hot, other, i, &found)
 			}
 		}
@@ -111,12 +120,15 @@
 	e := w.on(hot)[i]
 	gap := w.rank[hot] - w.rank[other]
 	for j, f := range w.on(other) {
-		if w.replicas[f] > 1 {
+		if (f == Blank || w.replicas[f] > 1) && w.bound.allows(other, e, f) {
 			gain := w.replicaGain(other, e, f)
 			found.offer(change{hot: hot, other: other, i: i, j: j, replicate: true, gain: gain, moves: 1})
 		}
+		if f == Blank {
+			continue
+		}
 		d := w.shares[e] - w.shares[f]
-		if d > 0 && d < gap && !w.holds(hot, f) {
+		if d > 0 && d < gap && !w.holds(hot, f) && w.bound.allows(other, e, f) && w.bound.allows(hot, f, e) {
 			found.offer(change{hot: hot, other: other, i: i, j: j, gain: 2 * d * (gap - d), moves: 2})
 		}
 	}
@@ -136,9 +148,13 @@
 // other holders of e carry less, those of f more, and the other rank the
 // difference.
 func (w *work) replicaGain(other int, e, f graniteknot.Expert) float64 {
-	n, m := float64(w.replicas[e]), float64(w.replicas[f])
+	n := float64(w.replicas[e])
 	added := w.load[e] / (n + 1)
 	less := w.shares[e] - added
+	if f == Blank {
+		return less*(2*w.held[e]-n*less) - added*(2*w.rank[other]+added)
+	}
+	m := float64(w.replicas[f])
 	more := w.load[f]/(m-1) - w.shares[f]
 	own := added - w.shares[f]
 	both := float64(bits.OnesCount64(w.holders[e] & w.holders[f]))
@@ -151,6 +167,10 @@
 // apply makes a change.
 func (w *work) apply(c change) {
 	e := w.on(c.hot)[c.i]
+	w.bound.note(c.other, e, w.on(c.other)[c.j])
+	if !c.replicate {
+		w.bound.note(c.hot, w.on(c.other)[c.j], e)
+	}
 	if c.replicate {
 		w.on(c.other)[c.j] = e
 	} else {
