--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -45,6 +45,10 @@
 	// Never for none. The same step is asked for until then, since the order may
 	// be carried out late.
 	Hold graniteknot.Step
+	// ArmAt is the step that the keeper has sent the first arm for and has not
+	// seen passed; Never for none. It does not change until then, so that all
+	// ranks are armed for the same step.
+	ArmAt graniteknot.Step
 }
 
 // Decide returns the orders that all ranks' states ask for. The states must have
@@ -61,7 +65,7 @@
 		// The ranks were read while the group passed from one map to the next.
 		return Decision{Phase: PhaseArmed}
 	case g.held != Never && g.prepared != 0:
-		return g.rollForward(states, g.prepared, g.held)
+		return g.rollForward(states, g.prepared, g.armAt(states, w))
 	case g.held != Never:
 		return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
 	case g.prepared != 0 && (w.Version == 0 || g.prepared == w.Version):
@@ -72,6 +76,26 @@
 	return Decision{Phase: PhaseIdle}
 }
 
+// armAt chooses the held step to arm for. Late orders of former keepers may hold
+// other steps too.
+func (g *group) armAt(states []State, w Wish) graniteknot.Step {
+	for _, own := range []graniteknot.Step{w.ArmAt, w.Hold} {
+		if own > g.step && holds(states, own) {
+			return own
+		}
+	}
+	return g.held
+}
+
+func holds(states []State, at graniteknot.Step) bool {
+	for _, s := range states {
+		if s.Held == at {
+			return true
+		}
+	}
+	return false
+}
+
 // hold asks the home rank to hold a step that has not begun.
 func (g *group) hold(w Wish) Decision {
 	step := w.Hold
@@ -94,10 +118,6 @@
 // rollForward arms all ranks and then lets the step begin.
 func (g *group) rollForward(states []State, v Version, at graniteknot.Step) Decision {
 	d := Decision{Phase: PhaseArming}
-	if g.held == Never && g.step < at && !g.allArmed(states, v) {
-		// Nothing keeps the step from beginning: it is held first.
-		d.Orders = append(d.Orders, Order{Kind: KindHold, Step: at, Epoch: g.epoch})
-	}
 	for r, s := range states {
 		if s.Armed != v && s.Mapping != v {
 			d.Orders = append(d.Orders, Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch})
@@ -112,15 +132,6 @@
 	return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
 }
 
-func (g *group) allArmed(states []State, v Version) bool {
-	for _, s := range states {
-		if s.Armed != v && s.Mapping != v {
-			return false
-		}
-	}
-	return true
-}
-
 // release lets every rank that holds a step go on.
 func (g *group) release(states []State) []Order {
 	var out []Order
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -16,7 +16,8 @@
 	prepared Version
 	armed    Version
 	armedAt  graniteknot.Step
-	held     graniteknot.Step
+	// held is the first step that any rank holds; Never for none.
+	held graniteknot.Step
 }
 
 // sum returns false when the group is not whole or does not run.
@@ -38,7 +39,7 @@
 		if s.Armed != 0 {
 			g.armed, g.armedAt = s.Armed, s.ArmedAt
 		}
-		if s.Held != Never {
+		if s.Held != Never && (g.held == Never || s.Held < g.held) {
 			g.held = s.Held
 		}
 	}
--- a/expertmap/held/state.go
+++ b/expertmap/held/state.go
@@ -40,7 +40,8 @@
 	KindHold
 	// KindArm brings a prepared map into force as a step begins.
 	KindArm
-	// KindGo lets a held step begin.
+	// KindGo lets a held step begin. For step Never it does nothing but make the
+	// rank know the keeper's fence.
 	KindGo
 )
 
