--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -13,8 +13,14 @@
 	"graniteknot.org/go/planner"
 )
 
-// orderTime bounds an order to the own rank, which is on the same box.
-const orderTime = 500 * time.Millisecond
+const (
+	// orderTime bounds an order to the own rank, with all its tries.
+	orderTime = 450 * time.Millisecond
+	// tryTime bounds one try. The rank is on the same box and answers within a
+	// few milliseconds, or not at all; then the same order is given again, which
+	// changes nothing if the first was taken.
+	tryTime = 45 * time.Millisecond
+)
 
 // Doer reads its rank and gives it orders for the keeper. Set the exported
 // fields. It implements wire.Ranks.
@@ -96,11 +102,11 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	began := time.Now()
-	result, err := d.Rank.Order(ctx, c)
+	result, tries, err := d.try(ctx, c)
 	fields := []slog.Attr{
 		slog.String("order", c.Kind.String()), slog.Int64("map", int64(c.Version)), slog.Uint64("step", uint64(c.Step)),
 		slog.Int64("epoch", int64(c.Epoch)), slog.Int64("fence", int64(c.Fence)), slog.String("result", result.String()),
-		slog.Duration("took", time.Since(began)),
+		slog.Int("tries", tries), slog.Duration("took", time.Since(began)),
 	}
 	if err != nil {
 		d.Log.Warn("order", append(fields, slog.String("error", err.Error()))...)
@@ -110,6 +116,19 @@
 	return result
 }
 
+// try gives an order until it is answered or the time is over.
+func (d *Doer) try(ctx context.Context, c *Command) (result Result, tries int, err error) {
+	for {
+		tries++
+		short, cancel := context.WithTimeout(ctx, tryTime)
+		result, err = d.Rank.Order(short, c)
+		cancel()
+		if result != ResultLost || ctx.Err() != nil {
+			return result, tries, err
+		}
+	}
+}
+
 func stateToWire(s held.State) *wire.RankState {
 	return &wire.RankState{
 		Epoch: int64(s.Epoch), Open: s.Open, Step: uint64(s.Step), Mapping: int64(s.Mapping), Prepared: int64(s.Prepared),
--- /dev/null
+++ b/internal/core/ranks/frozen_test.go
@@ -0,0 +1,68 @@
+package ranks_test
+
+import (
+	"context"
+	"sync"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/wire"
+	"graniteknot.org/go/planner"
+)
+
+// frozenDoer is a sidecar that stops answering.
+type frozenDoer struct {
+	*ranks.Doer
+
+	mu     sync.Mutex
+	frozen bool
+}
+
+func (f *frozenDoer) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen = true
+}
+
+func (f *frozenDoer) isFrozen() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen
+}
+
+// Look implements wire.Ranks.
+func (f *frozenDoer) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookReply, error) {
+	if f.isFrozen() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.Doer.Look(ctx, r)
+}
+
+// Give implements wire.Ranks.
+func (f *frozenDoer) Give(ctx context.Context, r *wire.GiveRequest) (*wire.GiveReply, error) {
+	if f.isFrozen() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.Doer.Give(ctx, r)
+}
+
+// keeperThrough returns a keeper that reaches one rank through another sidecar.
+func (b *bench) keeperThrough(f *frozenDoer, at int) *ranks.Keeper {
+	s := b.group.Shape
+	var members []*ranks.Member
+	for r, d := range b.doers {
+		var doer wire.Ranks = d
+		if r == at {
+			doer = f
+		}
+		members = append(members, ranks.NewMember(graniteknot.Rank(r), doer, b.group.Rank(graniteknot.Rank(r))))
+	}
+	return ranks.NewKeeper(ranks.Parts{
+		Fence: 1, Members: members,
+		Engine:  &catalog.Engine{Experts: &catalog.Experts{Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2}},
+		Planner: &planner.Planner{Shape: s, Threshold: 0.02, Smoothing: 1},
+	})
+}
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// lead is how many passes ahead a step is held: the arms are seen before it
-	// begins, unless the passes are very short, and the group does not stand.
-	lead = 2
+	// leastLead and mostLead bound how many passes ahead a step is held. All arms
+	// are to be seen before it begins, so that the group does not stand.
+	leastLead = 2
+	mostLead  = 16
 	// fastRound is the time between rounds while a step is held.
 	fastRound = 5 * time.Millisecond
 	// slowRound is the time between rounds while ranks load a map, or have yet
@@ -40,7 +41,7 @@
 	roomPerRank = 1
 	// sidecarPatience is how long a sidecar may be silent before its rank is
 	// reached from afar, which costs.
-	sidecarPatience = 500 * time.Millisecond
+	sidecarPatience = 250 * time.Millisecond
 	// prepareAgain is when a map is offered again to a rank that does not show
 	// it, beside the time that loading takes.
 	prepareAgain = time.Second
@@ -77,7 +78,11 @@
 	sequence held.Version
 	// prepared is when each rank was last told to prepare.
 	prepared []time.Time
+	// fenced are the ranks that know this keeper's fence, and so take no more
+	// orders of former keepers.
+	fenced []bool
 	window   window
+	pace     pace
 	// phase is the last decision's; since is when it began.
 	phase   held.Phase
 	since   time.Time
@@ -93,7 +98,7 @@
 // NewKeeper returns a keeper that does nothing until Run.
 func NewKeeper(p Parts) *Keeper {
 	return &Keeper{
-		Parts: p, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
+		Parts: p, prepared: make([]time.Time, len(p.Members)), fenced: make([]bool, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
 	}
 }
 
@@ -134,6 +139,9 @@
 	for i := range looks {
 		states[i] = looks[i].state
 	}
+	if orders := k.fences(states); len(orders) > 0 {
+		return fastRound, k.give(ctx, orders, now)
+	}
 	known := k.learn(looks, states)
 	if count {
 		k.observe(looks, now)
@@ -141,7 +149,8 @@
 	if known {
 		k.plan()
 	}
-	k.wish.Home, k.wish.Lead = k.Home, lead
+	k.pace.see(states[0].Step, now)
+	k.wish.Home, k.wish.Lead = k.Home, k.pace.lead()
 	d := held.Decide(states, k.wish)
 	k.enter(d.Phase)
 	if fenced := k.give(ctx, d.Orders, now); fenced != 0 {
@@ -169,6 +178,7 @@
 		return
 	}
 	now := time.Now()
+	k.pace.enter(p, now)
 	k.Log.Info("switch", slog.String("phase", p.String()), slog.String("former", k.phase.String()),
 		slog.Int64("map", int64(k.wish.Version)), slog.Int64("in_force", int64(k.mapping)), slog.Int64("epoch", int64(k.epoch)),
 		slog.Int64("fence", int64(k.Fence)), slog.Duration("former_took", now.Sub(k.since)))
@@ -195,6 +205,17 @@
 	return looks, true, 0
 }
 
+// fences returns an order to each rank that does not know the keeper's fence.
+func (k *Keeper) fences(states []held.State) []held.Order {
+	var out []held.Order
+	for r, known := range k.fenced {
+		if !known {
+			out = append(out, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(r), Step: held.Never, Epoch: states[r].Epoch})
+		}
+	}
+	return out
+}
+
 // learn takes in which map is in force; false when that can't be told yet, and
 // nothing can be planned.
 func (k *Keeper) learn(looks []seen, states []held.State) bool {
@@ -225,7 +246,7 @@
 		k.window.forget()
 	}
 	k.epoch, k.mapping = states[0].Epoch, newest
-	k.offered, k.wish.Version, k.wish.Hold = nil, 0, held.Never
+	k.offered, k.wish = nil, held.Wish{}
 	clear(k.prepared)
 	return true
 }
@@ -294,20 +315,32 @@
 			k.prepared[o.Rank] = now
 			c.Placement = k.offered
 		}
-		if o.Kind == held.KindHold {
-			k.wish.Hold = o.Step
-		}
+		k.remember(&o)
 		all.Go(func(context.Context) { results[i] = k.Members[o.Rank].give(ctx, c) })
 	}
 	all.Wait()
-	for _, r := range results {
+	for i, r := range results {
 		if r == ResultFenced {
 			return k.Fence + 1
 		}
+		if r != ResultLost {
+			k.fenced[orders[i].Rank] = true
+		}
 	}
 	return 0
 }
 
+// remember notes the steps that must not change until they are passed.
+func (k *Keeper) remember(o *held.Order) {
+	switch o.Kind {
+	case held.KindHold:
+		k.wish.Hold = o.Step
+	case held.KindArm:
+		k.wish.ArmAt = o.Step
+	case held.KindPrepare, held.KindGo:
+	}
+}
+
 // loading is how long a rank takes to load all it may.
 func (k *Keeper) loading() time.Duration {
 	e := k.Engine.Experts
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -14,10 +14,10 @@
 
 const (
 	// lookTime bounds one look at a rank through its sidecar.
-	lookTime = 350 * time.Millisecond
+	lookTime = 150 * time.Millisecond
 	// giveTime bounds an order through a sidecar; it is more than the sidecar's
 	// own bound.
-	giveTime = 700 * time.Millisecond
+	giveTime = 500 * time.Millisecond
 )
 
 // Member is one rank as the keeper reaches it.
@@ -40,6 +40,12 @@
 	fenced graniteknot.Position
 }
 
+// NewMember returns a rank that is reached through its sidecar's calls and, when
+// the sidecar is silent, from afar; direct may be nil.
+func NewMember(r graniteknot.Rank, doer wire.Ranks, direct Rank) *Member {
+	return &Member{rank: r, doer: doer, direct: direct}
+}
+
 // Find asks sidecars which rank is theirs. It returns the members of the group
 // by rank; false unless there is one for each.
 func Find(ctx context.Context, name GroupName, size int, sidecars []graniteknot.Address, reach func(graniteknot.Address) Rank) ([]*Member, bool) {
@@ -56,7 +62,7 @@
 			doer := wire.NewRanksProtobufClient("http://"+string(a), client)
 			reply, err := doer.Look(short, &wire.LookRequest{})
 			if err == nil && GroupName(reply.GetGroup()) == name {
-				found[i] = &Member{rank: graniteknot.Rank(reply.GetRank()), doer: doer, direct: reach(graniteknot.Address(reply.GetTarget()))}
+				found[i] = NewMember(graniteknot.Rank(reply.GetRank()), doer, reach(graniteknot.Address(reply.GetTarget())))
 			}
 		})
 	}
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -18,9 +18,9 @@
 	keepLook = 150 * time.Millisecond
 	// keeperSilence is how long a keeper may be silent before rank 0 takes its
 	// place; each further rank waits keeperTurn longer. A keeper looks at its
-	// ranks at least every 400 ms.
-	keeperSilence = 1200 * time.Millisecond
-	keeperTurn    = 300 * time.Millisecond
+	// ranks every 60 ms, or every 250 ms while the group does not run.
+	keeperSilence = 700 * time.Millisecond
+	keeperTurn    = 200 * time.Millisecond
 	// moveThreshold is the gain in skew, summed over the sets, that one loaded
 	// expert has to give. In replays of counts of two days a threshold of 0.04
 	// left a skew of 1.57 with 640 experts loaded, 0.08 one of 1.60 with 390, 0.15
--- /dev/null
+++ b/internal/standin/keyed/store.go
@@ -0,0 +1,216 @@
+// Package keyed is a stand-in of the platform's store of keyed records, in
+// memory, with the store's failures: away, refusing, losing answers, forgetting
+// its history.
+package keyed
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// Fault is what a Store does wrong.
+type Fault int
+
+// The faults.
+const (
+	// FaultNone answers.
+	FaultNone Fault = iota
+	// FaultSilent does not answer until the caller gives up, and does nothing.
+	FaultSilent
+	// FaultRefuse refuses and does nothing.
+	FaultRefuse
+	// FaultLose does what it is asked, and does not answer.
+	FaultLose
+)
+
+// Store implements graniteknot.KeyedStore. The zero value is empty.
+type Store struct {
+	mu     sync.Mutex
+	topics map[graniteknot.Topic]*topic
+	fault  Fault
+	// calls counts the calls, refused ones included.
+	calls int
+}
+
+type topic struct {
+	// records are those kept; the first stands at start.
+	records []graniteknot.KeyedRecord
+	start   graniteknot.Position
+	newest  map[string]graniteknot.KeyedRecord
+	// added is closed when a record is added.
+	added chan struct{}
+}
+
+// Set changes what the store does wrong.
+func (s *Store) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls counts the calls.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Trim forgets all records of a topic but the newest of each key.
+func (s *Store) Trim(t graniteknot.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.topic(t)
+	x.start = x.end()
+	x.records = nil
+}
+
+// Put adds a record whatever the store's fault, as its owner does.
+func (s *Store) Put(t graniteknot.Topic, key string, value []byte) graniteknot.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(t).add(graniteknot.KeyedRecord{Key: key, Value: value})
+}
+
+func (s *Store) topic(t graniteknot.Topic) *topic {
+	if s.topics == nil {
+		s.topics = map[graniteknot.Topic]*topic{}
+	}
+	if s.topics[t] == nil {
+		s.topics[t] = &topic{newest: map[string]graniteknot.KeyedRecord{}, added: make(chan struct{})}
+	}
+	return s.topics[t]
+}
+
+func (t *topic) end() graniteknot.Position { return t.start + graniteknot.Position(len(t.records)) }
+
+func (t *topic) add(r graniteknot.KeyedRecord) graniteknot.Position {
+	r.At = t.end()
+	t.records = append(t.records, r)
+	if len(r.Value) == 0 {
+		delete(t.newest, r.Key)
+	} else {
+		t.newest[r.Key] = r
+	}
+	close(t.added)
+	t.added = make(chan struct{})
+	return r.At
+}
+
+// begin counts a call and acts on the store's fault.
+func (s *Store) begin(ctx context.Context) (Fault, error) {
+	s.mu.Lock()
+	s.calls++
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case FaultSilent:
+		<-ctx.Done()
+		return fault, ctx.Err()
+	case FaultRefuse:
+		return fault, fmt.Errorf("refused: %w", graniteknot.ErrNotDone)
+	case FaultNone, FaultLose:
+	}
+	return fault, nil
+}
+
+// Newest implements graniteknot.KeyedStore.
+func (s *Store) Newest(ctx context.Context, t graniteknot.Topic) (graniteknot.KeyedPage, error) {
+	if err := s.ask(ctx); err != nil {
+		return graniteknot.KeyedPage{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.topic(t)
+	page := graniteknot.KeyedPage{End: x.end()}
+	for _, r := range x.newest {
+		page.Records = append(page.Records, r)
+	}
+	return page, nil
+}
+
+// ask begins a call that changes nothing.
+func (s *Store) ask(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	fault, err := s.begin(ctx)
+	if err != nil || fault != FaultLose {
+		return err
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// callTime bounds a call to a store that does not answer.
+const callTime = time.Second
+
+// Read implements graniteknot.KeyedStore.
+func (s *Store) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
+	if err := s.ask(ctx); err != nil {
+		return graniteknot.KeyedPage{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, added, err := s.read(t, from)
+		if err != nil || len(page.Records) > 0 {
+			return page, err
+		}
+		select {
+		case <-added:
+		case <-timer.C:
+			return page, s.ask(ctx)
+		case <-ctx.Done():
+			return page, ctx.Err()
+		}
+	}
+}
+
+func (s *Store) read(t graniteknot.Topic, from graniteknot.Position) (graniteknot.KeyedPage, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.topic(t)
+	page := graniteknot.KeyedPage{End: x.end()}
+	if from < x.start {
+		return page, nil, fmt.Errorf("read from %d: %w", from, graniteknot.ErrTrimmed)
+	}
+	if from < x.end() {
+		page.Records = append(page.Records, x.records[from-x.start:]...)
+	}
+	return page, x.added, nil
+}
+
+// Append implements graniteknot.KeyedStore.
+func (s *Store) Append(ctx context.Context, t graniteknot.Topic, r graniteknot.KeyedRecord) (graniteknot.Position, error) {
+	return s.append(ctx, t, -1, r)
+}
+
+// AppendAt implements graniteknot.KeyedStore.
+func (s *Store) AppendAt(ctx context.Context, t graniteknot.Topic, end graniteknot.Position, r graniteknot.KeyedRecord) (graniteknot.Position, error) {
+	return s.append(ctx, t, end, r)
+}
+
+func (s *Store) append(ctx context.Context, t graniteknot.Topic, end graniteknot.Position, r graniteknot.KeyedRecord) (graniteknot.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	fault, err := s.begin(ctx)
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	x := s.topic(t)
+	if end >= 0 && end != x.end() {
+		s.mu.Unlock()
+		return 0, fmt.Errorf("append at %d: %w", end, graniteknot.ErrMoved)
+	}
+	at := x.add(r)
+	s.mu.Unlock()
+	if fault == FaultLose {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/standin/obeying/group.go
@@ -0,0 +1,317 @@
+// Package obeying is a stand-in of a lock-step group whose ranks obey orders:
+// they prepare, hold, arm and go on as they are told, check epochs and fences,
+// and compare nothing with each other. Orders may be lost, or carried out late.
+package obeying
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/planner"
+)
+
+// Group is the group. Make it with New.
+type Group struct {
+	Shape planner.Shape
+	// Load is how long one expert takes to load.
+	Load time.Duration
+	// LateShare of the orders get no answer and are carried out LateFrom to
+	// LateTo later.
+	LateShare        float64
+	LateFrom, LateTo time.Duration
+
+	mu     sync.Mutex
+	random *rand.Rand
+	ranks  []*Rank
+	epoch  held.Epoch
+	step   graniteknot.Step
+	// liked is how often each expert is chosen in a pass, by set and expert.
+	liked planner.Loads
+	// apart counts the passes that began with different maps at two ranks.
+	apart int
+	// stood is how long the group has been kept from a pass by a hold.
+	stood, longest time.Duration
+	wait           group.Group
+}
+
+// Rank is one rank; it implements ranks.Rank.
+type Rank struct {
+	group  *Group
+	number graniteknot.Rank
+	state  held.State
+	// placements of the map in force and the prepared one.
+	now, prepared [][]graniteknot.Expert
+	highest       held.Version
+	fence         graniteknot.Position
+	counts        []uint64
+	// Deaf ranks answer nothing.
+	deaf bool
+}
+
+// New returns a group under the map that groups open with.
+func New(s planner.Shape, seed uint64) *Group {
+	g := &Group{Shape: s, random: rand.New(rand.NewPCG(seed, seed)), epoch: 1, liked: planner.NewLoads(s)}
+	for r := range s.Ranks {
+		g.ranks = append(g.ranks, &Rank{group: g, number: graniteknot.Rank(r), counts: make([]uint64, s.Layers*s.Experts)})
+	}
+	g.open()
+	return g
+}
+
+// open forms the group; called before use or with the lock held.
+func (g *Group) open() {
+	dealt := planner.NewDealt(g.Shape)
+	for _, r := range g.ranks {
+		r.state = held.State{Epoch: g.epoch, Open: true, Step: g.step}
+		r.now, r.prepared = lists(dealt, r.number), nil
+		r.highest = 0
+	}
+}
+
+// Rank returns one rank.
+func (g *Group) Rank(r graniteknot.Rank) *Rank { return g.ranks[r] }
+
+// Like sets how often each expert is chosen in a pass.
+func (g *Group) Like(l planner.Loads) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.liked = l
+}
+
+// Break forms the group anew: all maps are forgotten.
+func (g *Group) Break() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.epoch++
+	g.open()
+}
+
+// Deafen makes a rank answer nothing, or answer again.
+func (g *Group) Deafen(r graniteknot.Rank, deaf bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[r].deaf = deaf
+}
+
+// Run begins a pass at each period until ctx is done.
+func (g *Group) Run(ctx context.Context, period time.Duration) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pass(period)
+		}
+	}
+}
+
+// pass begins one pass, if no rank holds it.
+func (g *Group) pass(period time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	next := g.step + 1
+	for _, r := range g.ranks {
+		if r.state.Held == next {
+			g.stood += period
+			g.longest = max(g.longest, g.stood)
+			return
+		}
+	}
+	g.stood, g.step = 0, next
+	for _, r := range g.ranks {
+		r.begin(next)
+	}
+	for _, r := range g.ranks {
+		if r.state.Mapping != g.ranks[0].state.Mapping {
+			g.apart++
+			return
+		}
+	}
+}
+
+func (r *Rank) begin(step graniteknot.Step) {
+	s := &r.state
+	s.Step = step
+	if s.Armed != 0 && s.ArmedAt == step {
+		s.Mapping, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
+		r.now, r.prepared = r.prepared, nil
+	}
+	at := 0
+	for l := range r.group.liked {
+		for _, v := range r.group.liked[l] {
+			r.counts[at] += uint64(v)
+			at++
+		}
+	}
+}
+
+// Shown is what a group shows of itself.
+type Shown struct {
+	// Apart counts passes with different maps.
+	Apart int
+	// Longest is the longest time that the group was kept from a pass.
+	Longest time.Duration
+	// Mappings are the maps in force, by rank.
+	Mappings []held.Version
+	Step     graniteknot.Step
+	// Held tells that a rank holds.
+	Held bool
+	// Skew is that of what is liked, under the map in force.
+	Skew float64
+}
+
+// Show returns what the group shows.
+func (g *Group) Show() Shown {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := Shown{Apart: g.apart, Longest: g.longest, Step: g.step}
+	p := planner.NewDealt(g.Shape)
+	for _, r := range g.ranks {
+		out.Mappings = append(out.Mappings, r.state.Mapping)
+		out.Held = out.Held || r.state.Held != held.Never
+		for l, experts := range r.now {
+			p.Set(graniteknot.Layer(l), r.number, experts)
+		}
+	}
+	out.Skew = p.Skew(g.liked)
+	return out
+}
+
+// Wait waits for the orders that are carried out late.
+func (g *Group) Wait() { g.wait.Wait() }
+
+var errDeaf = errors.New("no answer")
+
+// Report implements ranks.Rank.
+func (r *Rank) Report(context.Context) (ranks.Report, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	if r.deaf {
+		return ranks.Report{}, errDeaf
+	}
+	return ranks.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Pace: 1}, nil
+}
+
+// Counts implements ranks.Rank.
+func (r *Rank) Counts(context.Context) ([]uint64, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return append([]uint64(nil), r.counts...), nil
+}
+
+// Lists implements ranks.Rank.
+func (r *Rank) Lists(context.Context) ([][]graniteknot.Expert, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return r.now, nil
+}
+
+// Order implements ranks.Rank.
+func (r *Rank) Order(ctx context.Context, c *ranks.Command) (ranks.Result, error) {
+	g := r.group
+	g.mu.Lock()
+	deaf := r.deaf
+	late := g.random.Float64() < g.LateShare
+	delay := g.LateFrom
+	if g.LateTo > g.LateFrom {
+		delay += time.Duration(g.random.Int64N(int64(g.LateTo - g.LateFrom)))
+	}
+	g.mu.Unlock()
+	if deaf {
+		<-ctx.Done()
+		return ranks.ResultLost, errDeaf
+	}
+	if late {
+		g.wait.Go(func(context.Context) {
+			time.Sleep(delay)
+			_, _ = r.obey(c)
+		})
+		<-ctx.Done()
+		return ranks.ResultLost, fmt.Errorf("order: %w", ctx.Err())
+	}
+	return r.obey(c)
+}
+
+func (r *Rank) obey(c *ranks.Command) (ranks.Result, error) {
+	g := r.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.Fence < r.fence {
+		return ranks.ResultFenced, nil
+	}
+	r.fence = c.Fence
+	if c.Epoch != r.state.Epoch {
+		return ranks.ResultConflict, nil
+	}
+	s := &r.state
+	switch {
+	case c.Kind == held.KindPrepare && c.Version > r.highest && s.Armed == 0 && c.Placement != nil:
+		r.prepare(c)
+	case c.Kind == held.KindHold && c.Step > s.Step && s.Held == held.Never:
+		s.Held = c.Step
+	case c.Kind == held.KindArm && s.Prepared == c.Version && c.Step > s.Step:
+		s.Armed, s.ArmedAt = c.Version, c.Step
+	case c.Kind == held.KindGo && (c.Step == s.Held || c.Step == held.Never):
+		if c.Step == s.Held {
+			s.Held = held.Never
+		}
+	default:
+		return ranks.ResultConflict, nil
+	}
+	return ranks.ResultDone, nil
+}
+
+// prepare loads what is new; called with the lock held.
+func (r *Rank) prepare(c *ranks.Command) {
+	r.highest = c.Version
+	r.state.Prepared = 0
+	next := lists(c.Placement, r.number)
+	fresh := 0
+	for l := range next {
+		for _, e := range next[l] {
+			if !has(r.now[l], e) {
+				fresh++
+			}
+		}
+	}
+	epoch := r.state.Epoch
+	r.group.wait.Go(func(context.Context) {
+		time.Sleep(time.Duration(fresh) * r.group.Load)
+		r.group.mu.Lock()
+		defer r.group.mu.Unlock()
+		if r.highest == c.Version && r.state.Epoch == epoch {
+			r.state.Prepared, r.prepared = c.Version, next
+		}
+	})
+}
+
+func lists(p *planner.Placement, r graniteknot.Rank) [][]graniteknot.Expert {
+	out := make([][]graniteknot.Expert, p.Shape.Layers)
+	for l := range out {
+		for _, e := range p.Rank(graniteknot.Layer(l), r) {
+			if e != planner.Blank {
+				out[l] = append(out[l], e)
+			}
+		}
+	}
+	return out
+}
+
+func has(list []graniteknot.Expert, e graniteknot.Expert) bool {
+	for _, v := range list {
+		if v == e {
+			return true
+		}
+	}
+	return false
+}
