--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -61,6 +61,7 @@
 		return
 	}
 	l.ended = true
+	defer l.table.serve(l.Replica.Service, now)
 	t := l.target
 	delete(t.own, l)
 	if l.trial {
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -12,6 +12,9 @@
 type Query struct {
 	Service *catalog.Service
 	Size    catalog.Size
+	Urgency catalog.Urgency
+	// Gap is the longest useful pause between events; 0 is no bound.
+	Gap time.Duration
 	// Tried are not chosen again while others are left.
 	Tried []catalog.ReplicaID
 	// Zone is preferred among equals.
--- /dev/null
+++ b/internal/core/fleet/queue.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+// crowded is the part of a service's room that has to be taken for the gateways
+// to keep to their own parts.
+const crowded = 0.75
+
+// firstPasses is how many passes an engine takes to its first event: the rest of
+// the one under way, one that reads the prompt, and one that writes.
+const firstPasses = 2.6
+
+// Waiting bounds how long a request waits for room.
+type Waiting struct {
+	// Aim is by when the first event has to come for the answer to be fully
+	// useful. Those who can still be in time go before those who can't.
+	Aim time.Time
+	// Last is when waiting is given up.
+	Last time.Time
+}
+
+// waiter is a request that waits for room at an engine.
+type waiter struct {
+	query *Query
+	wait  Waiting
+	// ready gets the lease; it has room for one.
+	ready chan *Lease
+}
+
+// Acquire chooses a replica as Pick does, but waits for room at an engine. It
+// returns nil when the wait is over, or no replica may be chosen.
+func (t *Table) Acquire(ctx context.Context, q *Query, w Waiting) *Lease {
+	if q.Service.Engine == nil {
+		return t.Pick(q)
+	}
+	lease, one := t.enter(q, w)
+	if one == nil {
+		return lease
+	}
+	timer := time.NewTimer(time.Until(w.Last))
+	defer timer.Stop()
+	select {
+	case lease := <-one.ready:
+		return lease
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return t.leave(q.Service.Name, one)
+}
+
+// enter returns a lease at once, or a place in the queue; neither when no
+// replica may be chosen.
+func (t *Table) enter(q *Query, w Waiting) (*Lease, *waiter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.services[q.Service.Name]
+	if t.best(q, func(x *target) bool { return !x.replica.Draining }) == nil {
+		return nil, nil
+	}
+	if len(t.queues[q.Service.Name]) == 0 {
+		if best := t.roomy(q, list); best != nil {
+			return t.lease(best, q), nil
+		}
+	}
+	one := &waiter{query: q, wait: w, ready: make(chan *Lease, 1)}
+	if t.queues == nil {
+		t.queues = map[graniteknot.Service][]*waiter{}
+	}
+	t.queues[q.Service.Name] = append(t.queues[q.Service.Name], one)
+	t.serve(q.Service.Name, time.Now())
+	return nil, one
+}
+
+// leave gives a place in the queue up. The lease may have come meanwhile.
+func (t *Table) leave(s graniteknot.Service, one *waiter) *Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.queues[s] = slices.DeleteFunc(t.queues[s], func(x *waiter) bool { return x == one })
+	select {
+	case lease := <-one.ready:
+		return lease
+	default:
+		return nil
+	}
+}
+
+// roomy returns the best usable replica with room; called with the lock held.
+// Reports are late, and every gateway sees the same slot fall free: once the
+// service is nearly full, each keeps to its own part of the room.
+func (t *Table) roomy(q *Query, list []*target) *target {
+	g := t.load(list, q.Now)
+	most := room(q.Service.Engine, q.Gap, g.pass, g.running)
+	own, all, usable := 0, 0, 0
+	for _, x := range list {
+		if !x.usable(q.Now) {
+			continue
+		}
+		usable++
+		own += len(x.own)
+		all += len(x.own) + x.others(q.Now)
+	}
+	each := most
+	if float64(all) >= crowded*float64(most*usable) {
+		peers := max(1, t.peers)
+		if own >= (most*usable+peers-1)/peers {
+			return nil
+		}
+		each = (most + peers - 1) / peers
+	}
+	return t.best(q, func(x *target) bool {
+		return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < most
+	})
+}
+
+// serve hands free room to those who wait; called with the lock held.
+func (t *Table) serve(s graniteknot.Service, now time.Time) {
+	for len(t.queues[s]) > 0 {
+		pass := t.load(t.services[s], now).pass
+		i := first(t.queues[s], now.Add(time.Duration(firstPasses*float64(pass))))
+		one := t.queues[s][i]
+		one.query.Now = now
+		best := t.roomy(one.query, t.services[s])
+		if best == nil {
+			return
+		}
+		t.queues[s] = slices.Delete(t.queues[s], i, i+1)
+		one.ready <- t.lease(best, one.query)
+	}
+}
+
+// first returns the index of who is served next: the more urgent first, then
+// those who can still be in time, then the one whose aim is the earliest. An
+// engine that got a request now would give its first event at the given time.
+func first(list []*waiter, event time.Time) int {
+	best := 0
+	for i := range list {
+		if before(list[i], list[best], event) {
+			best = i
+		}
+	}
+	return best
+}
+
+func before(a, b *waiter, event time.Time) bool {
+	if a.query.Urgency != b.query.Urgency {
+		return a.query.Urgency < b.query.Urgency
+	}
+	inTime, other := a.wait.Aim.After(event), b.wait.Aim.After(event)
+	if inTime != other {
+		return inTime
+	}
+	return a.wait.Aim.Before(b.wait.Aim)
+}
+
+// Queued tells how many requests wait for a service, and how many replicas have
+// no room.
+func (t *Table) Queued(s *catalog.Service) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.queues[s.Name])
+}
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -31,6 +31,17 @@
 	targets map[catalog.ReplicaID]*target
 	// services holds the same targets by service.
 	services map[graniteknot.Service][]*target
+	// queues hold those who wait for room, by service.
+	queues map[graniteknot.Service][]*waiter
+	// peers is how many gateways share the replicas; 0 counts as one.
+	peers int
+}
+
+// Share tells how many gateways share the replicas now.
+func (t *Table) Share(gateways int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers = gateways
 }
 
 // Put adds or changes a registered replica. It returns whether anything but a
@@ -147,6 +158,7 @@
 	for _, x := range t.targets {
 		if x.replica.Address == a && l.Taken.After(x.load.Taken) {
 			x.load = l
+			t.serve(x.replica.Service, l.Taken)
 		}
 	}
 }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -15,8 +15,10 @@
 	Held graniteknot.Tokens
 	// Pace above 1 is a slow replica.
 	Pace float64
-	// Step is the last pass that was begun.
-	Step graniteknot.Step
+	// Pass is how long a pass takes; 0 is unknown, as in an idle group.
+	Pass time.Duration
+	// Closed groups do not run.
+	Closed bool
 	// Taken is when the report was made.
 	Taken time.Time
 }
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -27,6 +27,16 @@
 	ConnLimit func(*catalog.Service) int
 }
 
+const (
+	// aimMargin is taken from the aim for the way between caller and replica.
+	aimMargin = 25 * time.Millisecond
+	// patienceAims is how many aims a request waits for room. Callers leave a
+	// stream that gives nothing for four aims.
+	patienceAims = 3
+	// leastPatience is the least wait, for routes without an aim.
+	leastPatience = 500 * time.Millisecond
+)
+
 var errTimeout = errors.New("the request's time is over")
 
 // Do takes a job to its one result.
@@ -87,11 +97,9 @@
 			r.giveUp(why)
 			return
 		}
-		lease := f.Fleet.Pick(&fleet.Query{
-			Service: r.job.Service, Size: r.job.Size, Tried: r.tried, Zone: f.Zone, Now: time.Now(),
-		})
+		lease := f.Fleet.Acquire(r.ctx, r.query(), r.waiting())
 		if lease == nil {
-			r.giveUp(ReasonNoReplica)
+			r.giveUp(r.noLease())
 			return
 		}
 		r.result.Attempts++
@@ -107,6 +115,37 @@
 	}
 }
 
+func (r *run) query() *fleet.Query {
+	return &fleet.Query{
+		Service: r.job.Service, Size: r.job.Size, Urgency: r.job.Urgency(), Gap: r.job.Route.GapAim,
+		Tried: r.tried, Zone: r.f.Zone, Now: time.Now(),
+	}
+}
+
+// waiting bounds the wait for room. A stream that is broken in the middle waits
+// as one that has just come: its caller counts the pause.
+func (r *run) waiting() fleet.Waiting {
+	from := r.job.Arrived
+	if r.result.Begun {
+		from = r.lastPart
+	}
+	return fleet.Waiting{
+		Aim:  from.Add(r.job.Route.Aim - aimMargin),
+		Last: from.Add(max(time.Duration(patienceAims*float64(r.job.Route.Aim)), leastPatience)),
+	}
+}
+
+// noLease says why there was no replica.
+func (r *run) noLease() Reason {
+	if r.ctx.Err() != nil {
+		return r.stopReason()
+	}
+	if all, _ := r.f.Fleet.Count(r.job.Service.Name, time.Now()); all == 0 {
+		return ReasonNoReplica
+	}
+	return ReasonBusy
+}
+
 // mayTry tells whether another attempt may be made, and if not, why.
 func (r *run) mayTry() (Reason, bool) {
 	if r.ctx.Err() != nil {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -133,6 +133,7 @@
 		to = append(to, m.Peers)
 	}
 	g.socket.Send(presence.Message{Ready: g.ready(), Self: &self}, to)
+	g.Fleet.Share(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, time.Now())) + 1)
 }
 
 // heard takes a datagram.
@@ -142,7 +143,7 @@
 	if d := m.Load; d != nil {
 		g.Fleet.Report(d.Target, fleet.Load{
 			Running: d.Running, Waiting: d.Waiting, Held: graniteknot.Tokens(d.Held), Pace: float64(d.Pace),
-			Step: graniteknot.Step(d.Step), Taken: now,
+			Pass: time.Duration(d.Pass) * time.Microsecond, Closed: !d.Open, Taken: now,
 		})
 	}
 }
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -31,6 +31,8 @@
 	Step    uint64              `cbor:"6,keyasint,omitempty"`
 	// Open tells that the replica's lock-step group runs, or that it has none.
 	Open bool `cbor:"7,keyasint,omitempty"`
+	// Pass is how long a pass of the group takes, in microseconds; 0 is unknown.
+	Pass int64 `cbor:"8,keyasint,omitempty"`
 }
 
 func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -81,8 +81,8 @@
 	// fenced are the ranks that know this keeper's fence, and so take no more
 	// orders of former keepers.
 	fenced []bool
-	window   window
-	pace     pace
+	window window
+	pace   pace
 	// phase is the last decision's; since is when it began.
 	phase   held.Phase
 	since   time.Time
--- /dev/null
+++ b/internal/core/sidecar/passclock.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// passSpan is how far back passes are counted for their mean time: a few of
+// them, since prompts that are read make single ones longer.
+const passSpan = 360 * time.Millisecond
+
+// passClock tells how long passes take, from looks at the last one begun. The
+// zero value knows nothing.
+type passClock struct {
+	// looks are the newest last; the first is the newest that is passSpan old.
+	looks []passLook
+}
+
+type passLook struct {
+	step graniteknot.Step
+	at   time.Time
+}
+
+// see takes in a look and returns the mean time of a pass; 0 when too few have
+// begun to tell, as in an idle group.
+func (c *passClock) see(step graniteknot.Step, now time.Time) time.Duration {
+	if n := len(c.looks); n > 0 && step < c.looks[n-1].step {
+		// The rank has started anew.
+		c.looks = nil
+	}
+	c.looks = append(c.looks, passLook{step, now})
+	for len(c.looks) > 2 && now.Sub(c.looks[1].at) >= passSpan {
+		c.looks = c.looks[1:]
+	}
+	first := c.looks[0]
+	if step <= first.step {
+		return 0
+	}
+	return now.Sub(first.at) / time.Duration(step-first.step)
+}
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -62,6 +62,8 @@
 	// report is the last one of the own rank, read when.
 	report ranks.Report
 	read   time.Time
+	// pass knows how long a pass takes; only digests uses it.
+	pass passClock
 }
 
 // New returns a sidecar that does nothing until Start.
@@ -142,7 +144,7 @@
 	}
 	s.socket.Send(presence.Message{Load: &presence.Digest{
 		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Held: int64(r.Tokens), Pace: float32(r.Pace),
-		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open,
+		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: s.pass.see(r.State.Step, time.Now()).Microseconds(),
 	}}, to)
 }
 
