--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -15,7 +15,7 @@
 
 // firstPasses is how many passes an engine takes to its first event: the rest of
 // the one under way, one that reads the prompt, and one that writes.
-const firstPasses = 2.6
+const firstPasses = 3
 
 // Waiting bounds how long a request waits for room.
 type Waiting struct {
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -17,6 +17,10 @@
 // room, configuration or replicas.
 const refusedAgain = 300 * time.Millisecond
 
+// busyAgain is when a caller may come back that was refused for want of room
+// after it had waited: sooner, it would meet the same crowd.
+const busyAgain = 1800 * time.Millisecond
+
 // serve takes one caller's request to its answer.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -138,7 +142,7 @@
 		status = 0
 	case result.Outcome == graniteknot.OutcomeNotRun:
 		status = http.StatusServiceUnavailable
-		x.fail(status, max(result.Again, refusedAgain))
+		x.fail(status, again(result))
 	case result.Reason == forward.ReasonTimeout:
 		status = http.StatusGatewayTimeout
 		x.fail(status, 0)
@@ -153,6 +157,14 @@
 	}
 }
 
+// again is when the caller of a request that did not run may come back.
+func again(r *forward.Result) time.Duration {
+	if r.Reason == forward.ReasonBusy {
+		return max(r.Again, busyAgain)
+	}
+	return max(r.Again, refusedAgain)
+}
+
 func (x *exchange) log(result *forward.Result, status int) {
 	fields := []slog.Attr{
 		slog.String("request", string(x.request.ID)), slog.String("outcome", result.Outcome.String()),
--- a/internal/core/presence/member.go
+++ b/internal/core/presence/member.go
@@ -24,6 +24,8 @@
 	Peers graniteknot.Address `json:"peers" cbor:"4,keyasint"`
 	// Requests is where a gateway takes callers' requests.
 	Requests graniteknot.Address `json:"requests,omitempty" cbor:"5,keyasint,omitempty"`
+	// Target is a sidecar's replica.
+	Target graniteknot.Address `json:"target,omitempty" cbor:"7,keyasint,omitempty"`
 	// Born tells this life of the process from others; it is a random number.
 	Born graniteknot.Incarnation `json:"born" cbor:"6,keyasint"`
 }
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -9,7 +9,6 @@
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/eventlog"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/planner"
 )
@@ -39,9 +38,13 @@
 	// most of a switch; in the same replays one left a skew of 1.60, three 1.71,
 	// twelve 2.10.
 	roomPerRank = 1
-	// sidecarPatience is how long a sidecar may be silent before its rank is
-	// reached from afar, which costs.
-	sidecarPatience = 250 * time.Millisecond
+	// roundWait is how long a round waits for the ranks' answers; what comes
+	// later serves the next round.
+	roundWait = 40 * time.Millisecond
+	// lookAge is how old a look at a rank may be to decide on. Old looks are
+	// harmless, since what they show only changes by this keeper's orders, but
+	// nothing new is begun on them.
+	lookAge = 2 * time.Second
 	// prepareAgain is when a map is offered again to a rank that does not show
 	// it, beside the time that loading takes.
 	prepareAgain = time.Second
@@ -78,9 +81,6 @@
 	sequence held.Version
 	// prepared is when each rank was last told to prepare.
 	prepared []time.Time
-	// fenced are the ranks that know this keeper's fence, and so take no more
-	// orders of former keepers.
-	fenced []bool
 	window window
 	pace   pace
 	// phase is the last decision's; since is when it began.
@@ -98,7 +98,7 @@
 // NewKeeper returns a keeper that does nothing until Run.
 func NewKeeper(p Parts) *Keeper {
 	return &Keeper{
-		Parts: p, prepared: make([]time.Time, len(p.Members)), fenced: make([]bool, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
+		Parts: p, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
 	}
 }
 
@@ -112,6 +112,7 @@
 // Run keeps the map until ctx is done or another keeper is heard of, whose fence
 // it returns.
 func (k *Keeper) Run(ctx context.Context) graniteknot.Position {
+	defer k.stop()
 	for ctx.Err() == nil {
 		pause, fenced := k.round(ctx)
 		if fenced != 0 {
@@ -122,13 +123,20 @@
 	return 0
 }
 
+// stop ends the calls that are under way.
+func (k *Keeper) stop() {
+	for _, m := range k.Members {
+		m.calls.Stop()
+	}
+}
+
 // round reads all ranks and gives the orders that follow. It returns when the
 // next round is due.
 func (k *Keeper) round(ctx context.Context) (time.Duration, graniteknot.Position) {
 	now := time.Now()
 	count := now.Sub(k.counted) >= countRound && k.pause(k.phase) > fastRound
-	looks, whole, fenced := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), Counts: count, Lists: k.placement == nil})
-	if fenced != 0 {
+	looks, whole := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), Counts: count, Lists: k.placement == nil}, now)
+	if fenced := k.otherFence(); fenced > k.Fence {
 		return 0, fenced
 	}
 	if !whole {
@@ -140,7 +148,8 @@
 		states[i] = looks[i].state
 	}
 	if orders := k.fences(states); len(orders) > 0 {
-		return fastRound, k.give(ctx, orders, now)
+		k.give(ctx, orders, now)
+		return fastRound, 0
 	}
 	known := k.learn(looks, states)
 	if count {
@@ -153,9 +162,7 @@
 	k.wish.Home, k.wish.Lead = k.Home, k.pace.lead()
 	d := held.Decide(states, k.wish)
 	k.enter(d.Phase)
-	if fenced := k.give(ctx, d.Orders, now); fenced != 0 {
-		return 0, fenced
-	}
+	k.give(ctx, d.Orders, now)
 	return k.pause(d.Phase), 0
 }
 
@@ -185,31 +192,39 @@
 	k.phase, k.since = p, now
 }
 
-// look reads all ranks at once.
-func (k *Keeper) look(ctx context.Context, r *wire.LookRequest) (looks []seen, whole bool, fenced graniteknot.Position) {
+// look reads all ranks, and returns what is known of them after a short wait;
+// false when too little is.
+func (k *Keeper) look(ctx context.Context, r *wire.LookRequest, now time.Time) (looks []seen, whole bool) {
+	w := newWaiter(len(k.Members))
+	for _, m := range k.Members {
+		m.look(r, now, w.done)
+	}
+	w.wait(ctx, roundWait)
 	looks = make([]seen, len(k.Members))
-	errs := make([]error, len(k.Members))
-	var all group.Group
 	for i, m := range k.Members {
-		all.Go(func(context.Context) { looks[i], errs[i] = m.look(ctx, r, sidecarPatience) })
-	}
-	all.Wait()
-	for i := range looks {
-		if looks[i].fenced > k.Fence {
-			return nil, false, looks[i].fenced
-		}
-		if errs[i] != nil {
-			return nil, false, 0
+		last, at := m.shown()
+		if time.Since(at) > lookAge {
+			return nil, false
 		}
+		looks[i] = last
 	}
-	return looks, true, 0
+	return looks, true
+}
+
+// otherFence returns the highest fence of another keeper that any rank told.
+func (k *Keeper) otherFence() graniteknot.Position {
+	var highest graniteknot.Position
+	for _, m := range k.Members {
+		highest = max(highest, m.otherFence())
+	}
+	return highest
 }
 
 // fences returns an order to each rank that does not know the keeper's fence.
 func (k *Keeper) fences(states []held.State) []held.Order {
 	var out []held.Order
-	for r, known := range k.fenced {
-		if !known {
+	for r, m := range k.Members {
+		if !m.knowsFence() {
 			out = append(out, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(r), Step: held.Never, Epoch: states[r].Epoch})
 		}
 	}
@@ -302,32 +317,26 @@
 		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(k.epoch)))
 }
 
-// give gives orders to their ranks at once.
-func (k *Keeper) give(ctx context.Context, orders []held.Order, now time.Time) (fenced graniteknot.Position) {
-	results := make([]Result, len(orders))
-	var all group.Group
-	for i, o := range orders {
+// give gives orders to their ranks and waits a little for their answers.
+func (k *Keeper) give(ctx context.Context, orders []held.Order, now time.Time) {
+	if len(orders) == 0 {
+		return
+	}
+	w := newWaiter(len(orders))
+	for _, o := range orders {
 		c := &Command{Order: o, Fence: k.Fence}
 		if o.Kind == held.KindPrepare {
 			if now.Sub(k.prepared[o.Rank]) < k.loading()+prepareAgain {
+				w.done()
 				continue
 			}
 			k.prepared[o.Rank] = now
 			c.Placement = k.offered
 		}
 		k.remember(&o)
-		all.Go(func(context.Context) { results[i] = k.Members[o.Rank].give(ctx, c) })
+		k.Members[o.Rank].give(c, now, w.done)
 	}
-	all.Wait()
-	for i, r := range results {
-		if r == ResultFenced {
-			return k.Fence + 1
-		}
-		if r != ResultLost {
-			k.fenced[orders[i].Rank] = true
-		}
-	}
-	return 0
+	w.wait(ctx, roundWait)
 }
 
 // remember notes the steps that must not change until they are passed.
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net/http"
-	"slices"
+	"sync"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -13,22 +12,55 @@
 )
 
 const (
-	// lookTime bounds one look at a rank through its sidecar.
-	lookTime = 150 * time.Millisecond
-	// giveTime bounds an order through a sidecar; it is more than the sidecar's
-	// own bound.
-	giveTime = 500 * time.Millisecond
+	// callTime bounds one call to a sidecar; TCP sends a lost packet again after
+	// 200 ms at the earliest, and twice as long after that.
+	callTime = 700 * time.Millisecond
+	// hedgeTime is when a call that is not answered is made once more beside it.
+	// Sidecars answer within some 10 ms, so by then a packet was lost or the
+	// sidecar does not run.
+	hedgeTime = 90 * time.Millisecond
+	// mostCalls bounds the same calls at a time.
+	mostCalls = 3
+	// sidecarPatience is how long a sidecar may be silent before its rank is
+	// reached from afar, which costs.
+	sidecarPatience = 400 * time.Millisecond
 )
 
-// Member is one rank as the keeper reaches it.
+// Member is one rank as the keeper reaches it. Its calls go on in the
+// background: a rank that is slow to answer holds up nothing but what needs its
+// answer.
 type Member struct {
 	rank graniteknot.Rank
 	// doer is the sidecar's calls.
 	doer wire.Ranks
-	// direct is the rank itself, from afar.
+	// direct is the rank itself, from afar; nil for none.
 	direct Rank
-	// silent is since when the sidecar does not answer; zero while it does.
-	silent time.Time
+	calls  group.Group
+
+	mu sync.Mutex
+	// last is the last look that was answered, which began at lookedAt.
+	last     seen
+	lookedAt time.Time
+	// heard is when the sidecar answered last, or was asked first.
+	heard time.Time
+	// under are the calls under way, with when the last of the same was made.
+	under map[call]underWay
+	// answered tells that the rank answered an order of this keeper.
+	answered bool
+	// fenced is the highest fence of another keeper that was heard of.
+	fenced graniteknot.Position
+}
+
+// call tells calls apart: a look, or an order.
+type call struct {
+	look  bool
+	order held.Order
+}
+
+// underWay counts the same calls at a time.
+type underWay struct {
+	count int
+	made  time.Time
 }
 
 // seen is one look at a rank.
@@ -36,75 +68,139 @@
 	state  held.State
 	counts []uint64
 	lists  [][]graniteknot.Expert
-	pace   float64
-	fenced graniteknot.Position
 }
 
 // NewMember returns a rank that is reached through its sidecar's calls and, when
 // the sidecar is silent, from afar; direct may be nil.
 func NewMember(r graniteknot.Rank, doer wire.Ranks, direct Rank) *Member {
-	return &Member{rank: r, doer: doer, direct: direct}
-}
-
-// Find asks sidecars which rank is theirs. It returns the members of the group
-// by rank; false unless there is one for each.
-func Find(ctx context.Context, name GroupName, size int, sidecars []graniteknot.Address, reach func(graniteknot.Address) Rank) ([]*Member, bool) {
-	if size <= 0 {
-		return nil, false
-	}
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	found := make([]*Member, len(sidecars))
-	var all group.Group
-	for i, a := range sidecars {
-		all.Go(func(context.Context) {
-			short, cancel := context.WithTimeout(ctx, lookTime)
-			defer cancel()
-			doer := wire.NewRanksProtobufClient("http://"+string(a), client)
-			reply, err := doer.Look(short, &wire.LookRequest{})
-			if err == nil && GroupName(reply.GetGroup()) == name {
-				found[i] = NewMember(graniteknot.Rank(reply.GetRank()), doer, reach(graniteknot.Address(reply.GetTarget())))
-			}
-		})
-	}
-	all.Wait()
-	members := make([]*Member, size)
-	for _, m := range found {
-		if m != nil && int(m.rank) < size {
-			members[m.rank] = m
+	return &Member{rank: r, doer: doer, direct: direct, under: map[call]underWay{}}
+}
+
+// begin notes a call that is to be made now; false when enough of the same are
+// under way.
+func (m *Member) begin(c call, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.heard.IsZero() {
+		m.heard = now
+	}
+	u := m.under[c]
+	if u.count >= mostCalls || u.count > 0 && now.Sub(u.made) < hedgeTime {
+		return false
+	}
+	m.under[c] = underWay{count: u.count + 1, made: now}
+	return true
+}
+
+func (m *Member) end(c call) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.under[c]
+	u.count--
+	m.under[c] = u
+	if u.count == 0 {
+		delete(m.under, c)
+	}
+}
+
+// look begins to read the rank, and calls done when that has ended.
+func (m *Member) look(r *wire.LookRequest, now time.Time, done func()) {
+	c := call{look: true}
+	if !m.begin(c, now) {
+		return
+	}
+	m.calls.Go(func(ctx context.Context) {
+		defer done()
+		defer m.end(c)
+		ctx, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		if m.silent(now) {
+			m.lookDirect(ctx, now)
+			return
+		}
+		reply, err := m.doer.Look(ctx, r)
+		if err == nil {
+			m.take(reply, now)
 		}
+	})
+}
+
+// silent tells whether the sidecar has not answered for too long.
+func (m *Member) silent(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.direct != nil && now.Sub(m.heard) > sidecarPatience
+}
+
+func (m *Member) lookDirect(ctx context.Context, began time.Time) {
+	m.calls.Go(func(ctx context.Context) { m.ping(ctx) })
+	report, err := m.direct.Report(ctx)
+	if err == nil {
+		m.store(seen{state: report.State}, began)
 	}
-	return members, !slices.Contains(members, nil)
 }
 
-// look reads a rank through its sidecar or, when that has been silent for too
-// long, from afar.
-func (m *Member) look(ctx context.Context, r *wire.LookRequest, patience time.Duration) (seen, error) {
-	short, cancel := context.WithTimeout(ctx, lookTime)
+// ping finds out whether a silent sidecar answers again.
+func (m *Member) ping(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	reply, err := m.doer.Look(short, r)
-	if err == nil {
-		m.silent = time.Time{}
-		return seen{
-			state: stateOf(reply.GetState()), counts: reply.GetCounts(), lists: listsOf(reply.GetLists()),
-			pace: reply.GetPace(), fenced: graniteknot.Position(reply.GetFenced()),
-		}, nil
+	if _, err := m.doer.Look(ctx, &wire.LookRequest{}); err == nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.heard = time.Now()
 	}
-	now := time.Now()
-	if m.silent.IsZero() {
-		m.silent = now
+}
+
+func (m *Member) take(reply *wire.LookReply, began time.Time) {
+	m.mu.Lock()
+	m.heard = time.Now()
+	m.fenced = max(m.fenced, graniteknot.Position(reply.GetFenced()))
+	m.mu.Unlock()
+	if reply.GetFenced() == 0 {
+		m.store(seen{state: stateOf(reply.GetState()), counts: reply.GetCounts(), lists: listsOf(reply.GetLists())}, began)
 	}
-	if m.direct == nil || now.Sub(m.silent) < patience {
-		return seen{}, err
+}
+
+// store keeps a look unless a later one was answered before.
+func (m *Member) store(s seen, began time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if began.Before(m.lookedAt) {
+		return
 	}
-	report, err := m.direct.Report(ctx)
-	return seen{state: report.State, pace: report.Pace}, err
+	if s.lists == nil {
+		s.lists = m.last.lists
+	}
+	if s.counts == nil {
+		s.counts = m.last.counts
+	}
+	m.last, m.lookedAt = s, began
 }
 
-// give gives an order through the sidecar or, when that is silent, from afar.
-func (m *Member) give(ctx context.Context, c *Command) Result {
-	ctx, cancel := context.WithTimeout(ctx, giveTime)
-	defer cancel()
-	if !m.silent.IsZero() && m.direct != nil {
+// shown returns the last look and when it began; zero before the first.
+func (m *Member) shown() (seen, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last, m.lookedAt
+}
+
+// give begins to give an order, and calls done when that has ended.
+func (m *Member) give(c *Command, now time.Time, done func()) {
+	key := call{order: c.Order}
+	if !m.begin(key, now) {
+		return
+	}
+	m.calls.Go(func(ctx context.Context) {
+		defer done()
+		defer m.end(key)
+		ctx, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		m.note(m.order(ctx, c, now), c)
+	})
+}
+
+func (m *Member) order(ctx context.Context, c *Command, now time.Time) Result {
+	if m.silent(now) {
 		result, err := m.direct.Order(ctx, c)
 		if err != nil {
 			return ResultLost
@@ -117,3 +213,55 @@
 	}
 	return Result(reply.GetResult())
 }
+
+// note takes in what became of an order.
+func (m *Member) note(r Result, c *Command) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch r {
+	case ResultFenced:
+		m.fenced = max(m.fenced, c.Fence+1)
+	case ResultConflict:
+		m.answered = true
+	case ResultDone:
+		m.answered = true
+		m.carriedOut(c)
+	case ResultLost:
+	}
+}
+
+// carriedOut takes in that the rank has done an order: its word is as good as a
+// look, and comes at once. Looks that began before it are not kept.
+func (m *Member) carriedOut(c *Command) {
+	s := &m.last.state
+	if s.Epoch != c.Epoch || m.lookedAt.IsZero() {
+		return
+	}
+	switch c.Kind {
+	case held.KindHold:
+		s.Held = c.Step
+	case held.KindArm:
+		s.Armed, s.ArmedAt = c.Version, c.Step
+	case held.KindGo:
+		if s.Held == c.Step {
+			s.Held = held.Never
+		}
+	case held.KindPrepare:
+		return
+	}
+	m.lookedAt = time.Now()
+}
+
+// knowsFence tells whether the rank takes no more orders of former keepers.
+func (m *Member) knowsFence() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answered
+}
+
+// otherFence returns the highest fence of another keeper that was heard of.
+func (m *Member) otherFence() graniteknot.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fenced
+}
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -15,12 +15,12 @@
 
 const (
 	// keepLook is how often a sidecar looks whether it has to be the keeper.
-	keepLook = 150 * time.Millisecond
+	keepLook = 100 * time.Millisecond
 	// keeperSilence is how long a keeper may be silent before rank 0 takes its
 	// place; each further rank waits keeperTurn longer. A keeper looks at its
 	// ranks every 60 ms, or every 250 ms while the group does not run.
-	keeperSilence = 700 * time.Millisecond
-	keeperTurn    = 200 * time.Millisecond
+	keeperSilence = 500 * time.Millisecond
+	keeperTurn    = 150 * time.Millisecond
 	// moveThreshold is the gain in skew, summed over the sets, that one loaded
 	// expert has to give. In replays of counts of two days a threshold of 0.04
 	// left a skew of 1.57 with 640 experts loaded, 0.08 one of 1.60 with 390, 0.15
@@ -47,7 +47,7 @@
 			opened = now
 		}
 		if s.due(report.Rank, opened, now) {
-			s.claimAndKeep(ctx, &report)
+			s.claimAndKeep(ctx, &report, opened)
 			opened = time.Time{}
 		}
 	}
@@ -71,13 +71,14 @@
 }
 
 // claimAndKeep is the keeper until another one is heard of.
-func (s *Sidecar) claimAndKeep(ctx context.Context, report *ranks.Report) {
+func (s *Sidecar) claimAndKeep(ctx context.Context, report *ranks.Report, opened time.Time) {
 	engine := s.engine(ctx)
 	if engine == nil {
 		return
 	}
 	members, whole := s.find(ctx, report)
-	if !whole {
+	if !whole || !s.due(report.Rank, opened, time.Now()) {
+		// Another sidecar may have become the keeper meanwhile.
 		return
 	}
 	value, err := json.Marshal(claim{Box: s.Config.Box, Born: s.Born})
@@ -131,11 +132,11 @@
 // find asks all sidecars which rank is theirs; false unless all ranks of the
 // group are found.
 func (s *Sidecar) find(ctx context.Context, report *ranks.Report) ([]*ranks.Member, bool) {
-	addresses := []graniteknot.Address{s.Config.Peers}
+	places := []ranks.Place{{Sidecar: s.Config.Peers, Target: s.Config.Target}}
 	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
-		addresses = append(addresses, m.Peers)
+		places = append(places, ranks.Place{Sidecar: m.Peers, Target: m.Target})
 	}
-	return ranks.Find(ctx, report.Group, report.Size, addresses, s.Rank)
+	return ranks.Find(ctx, report.Group, report.Size, places, s.Rank)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/core/sidecar/passclock.go
+++ b/internal/core/sidecar/passclock.go
@@ -22,20 +22,29 @@
 	at   time.Time
 }
 
-// see takes in a look and returns the mean time of a pass; 0 when too few have
-// begun to tell, as in an idle group.
-func (c *passClock) see(step graniteknot.Step, now time.Time) time.Duration {
+// see takes in a look and returns the mean time of a pass; 0 when that can't be
+// told, as in an idle group. A group that has work and begins no pass counts as
+// one whose pass takes as long as it has stood.
+func (c *passClock) see(step graniteknot.Step, working bool, now time.Time) time.Duration {
 	if n := len(c.looks); n > 0 && step < c.looks[n-1].step {
 		// The rank has started anew.
 		c.looks = nil
 	}
+	if n := len(c.looks); n > 0 && step == c.looks[n-1].step && working {
+		return max(c.mean(), now.Sub(c.looks[n-1].at))
+	}
 	c.looks = append(c.looks, passLook{step, now})
 	for len(c.looks) > 2 && now.Sub(c.looks[1].at) >= passSpan {
 		c.looks = c.looks[1:]
 	}
-	first := c.looks[0]
-	if step <= first.step {
+	return c.mean()
+}
+
+// mean is the mean time of the passes between the looks.
+func (c *passClock) mean() time.Duration {
+	first, last := c.looks[0], c.looks[len(c.looks)-1]
+	if last.step <= first.step {
 		return 0
 	}
-	return now.Sub(first.at) / time.Duration(step-first.step)
+	return last.at.Sub(first.at) / time.Duration(last.step-first.step)
 }
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -87,7 +87,7 @@
 	}
 	registrar := &presence.Registrar{
 		Store: s.Store, View: &s.Members, Health: &s.Health, Log: s.Log,
-		Self: presence.Member{Box: c.Box, Role: presence.RoleSidecar, Zone: c.Zone, Peers: c.Peers, Born: s.Born},
+		Self: presence.Member{Box: c.Box, Role: presence.RoleSidecar, Zone: c.Zone, Peers: c.Peers, Target: c.Target, Born: s.Born},
 	}
 	s.group.Go(registrar.Register)
 	s.group.Go(registrar.Follow)
@@ -144,7 +144,7 @@
 	}
 	s.socket.Send(presence.Message{Load: &presence.Digest{
 		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Held: int64(r.Tokens), Pace: float32(r.Pace),
-		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: s.pass.see(r.State.Step, time.Now()).Microseconds(),
+		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: s.pass.see(r.State.Step, r.Running > 0, time.Now()).Microseconds(),
 	}}, to)
 }
 
