--- /dev/null
+++ b/internal/core/directconf/config_test.go
@@ -0,0 +1,88 @@
+package directconf_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"graniteknot.org/go/internal/core/directconf"
+)
+
+const whole = `[process]
+role = gateway
+box = edge-1
+zone = north
+memory_mb = 284
+stop_bound = 8s
+[listen]
+requests = 127.0.0.1:8001
+readiness = 127.0.0.1:8002
+directory = 127.0.0.1:8003
+peers = 127.0.0.1:8004
+[store]
+address = 127.0.0.1:8005
+[bounds]
+key_age = 5000ms
+[retries]
+share = 0.2
+extra = 90
+window = 10s
+`
+
+func TestWholeFile(t *testing.T) {
+	c, err := directconf.Parse("x.ini", []byte(whole))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Role != directconf.RoleGateway || c.KeyAge != 5*time.Second || c.RetryPercent != 20 || c.RetryExtra != 90 || c.Memory != 284<<20 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// TestFaults names the file, the line and the key of everything that is wrong.
+func TestFaults(t *testing.T) {
+	cases := map[string]struct{ from, to, want string }{
+		"missing":     {"requests = 127.0.0.1:8001\n", "", "x.ini:1: [listen] requests: expected this key to be set"},
+		"empty":       {"box = edge-1", "box =", "x.ini:1: [process] box: expected this key to be set"},
+		"address":     {"127.0.0.1:8005", "localhost", `x.ini:13: [store] address: expected IP:PORT, got "localhost"`},
+		"duration":    {"5000ms", "soon", `x.ini:15: [bounds] key_age: expected a duration from 0s to 24h, got "soon"`},
+		"role":        {"role = gateway", "role = king", `x.ini:2: [process] role: expected gateway or sidecar, got "king"`},
+		"number":      {"share = 0.2", "share = -1", `x.ini:17: [retries] share: expected a number that is not negative, got "-1"`},
+		"unknown key": {"zone = north", "zone = north\nzoom = 1", "x.ini:5: [process] zoom: expected a known key"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := directconf.Parse("x.ini", []byte(strings.Replace(whole, c.from, c.to, 1)))
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+		})
+	}
+	if _, err := directconf.Load(filepath.Join(t.TempDir(), "none.ini")); err == nil {
+		t.Error("a missing file was read")
+	}
+}
+
+// TestDeployTemplates checks that the templates of the deployment name known
+// keys only, by filling every gap with a value of its kind.
+func TestDeployTemplates(t *testing.T) {
+	fill := strings.NewReplacer(
+		"{{ip}}:{{internal_port_range.0}}", "127.0.0.1:1", "{{ip}}:9109", "127.0.0.1:2", "{{listen_addrs.frontend}}", "127.0.0.1:3",
+		"{{listen_addrs.readiness}}", "127.0.0.1:4", "{{listen_addrs.registry}}", "127.0.0.1:5", "{{platform.address}}", "127.0.0.1:6",
+		"{{app}}", "127.0.0.1:7", "{{limits.memory_mb}}", "100", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_min_extra}}", "90",
+		"{{bounds.grace_period_s}}", "8", "{{bounds.revoke_timeout_ms}}", "5000", "{{bounds.drain_timeout_ms}}", "2000",
+		"{{bounds.ttl_max_s}}", "5", "{{bounds.stall_ms}}", "1500", "{{bounds.retry_window_s}}", "10",
+		"{{node_name}}", "n", "{{zone}}", "z", "{{region}}", "r", "{{backend}}", "b",
+	)
+	for _, name := range []string{"gateway", "sidecar"} {
+		text, err := os.ReadFile("../../../deploy/" + name + ".ini")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := directconf.Parse(name, []byte(fill.Replace(string(text)))); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/fleet/fleet_test.go
@@ -0,0 +1,218 @@
+package fleet_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+var (
+	plain  = &catalog.Service{Name: "s"}
+	engine = &catalog.Service{Name: "s", Engine: &catalog.Engine{
+		Slots: 4, Step: 20 * time.Millisecond, PerWriter: 5 * time.Millisecond, Chunk: 512, Stride: 4,
+	}}
+)
+
+func replica(id catalog.ReplicaID) catalog.Replica {
+	return catalog.Replica{ID: id, Service: "s", Address: graniteknot.Address(id)}
+}
+
+func with(ids ...catalog.ReplicaID) *fleet.Table {
+	t := &fleet.Table{}
+	for _, id := range ids {
+		t.Put(replica(id), time.Now())
+	}
+	return t
+}
+
+func pick(t *fleet.Table, tried ...catalog.ReplicaID) catalog.ReplicaID {
+	l := t.Pick(&fleet.Query{Service: plain, Tried: tried, Now: time.Now()})
+	if l == nil {
+		return ""
+	}
+	l.End(fleet.VerdictNone, time.Now())
+	return l.Replica.ID
+}
+
+func TestDrainingIsNeverChosen(t *testing.T) {
+	table := with("a", "b")
+	leaving := replica("a")
+	leaving.Draining = true
+	table.Put(leaving, time.Now())
+	// A late heartbeat from before does not bring it back.
+	table.Put(replica("a"), time.Now())
+	for range 20 {
+		if got := pick(table); got != "b" {
+			t.Fatalf("chose %q", got)
+		}
+	}
+	if got := pick(table, "b"); got != "" {
+		t.Errorf("chose %q when only the leaving one is left", got)
+	}
+}
+
+// TestLapsedComesBackOrGoes keeps a replica whose record vanished while the
+// store was away until two seconds after the store's return.
+func TestLapsedComesBackOrGoes(t *testing.T) {
+	table := with("a", "b")
+	start := time.Now()
+	table.Lapse("a", start)
+	table.Lapse("b", start)
+	back := start.Add(10 * time.Second)
+	if gone := table.Expire(back, back.Add(1900*time.Millisecond)); len(gone) != 0 {
+		t.Fatalf("gone too early: %v", gone)
+	}
+	table.Put(replica("b"), back.Add(time.Second))
+	if gone := table.Expire(back, back.Add(2*time.Second)); len(gone) != 1 || gone[0] != "a" {
+		t.Fatalf("gone: %v", gone)
+	}
+	if got := pick(table); got != "b" {
+		t.Errorf("chose %q", got)
+	}
+}
+
+func TestFailuresPauseAReplica(t *testing.T) {
+	table := with("a", "b")
+	now := time.Now()
+	for range 2 {
+		l := table.Pick(&fleet.Query{Service: plain, Tried: []catalog.ReplicaID{"b"}, Now: now})
+		l.End(fleet.VerdictBad, now)
+	}
+	for range 20 {
+		if got := pick(table); got != "b" {
+			t.Fatalf("chose %q right after failures", got)
+		}
+	}
+	// One request at a time tries it again later.
+	later := now.Add(time.Minute)
+	query := &fleet.Query{Service: plain, Tried: []catalog.ReplicaID{"b"}, Now: later}
+	trial := table.Pick(query)
+	if trial == nil || trial.Replica.ID != "a" {
+		t.Fatal("not tried again")
+	}
+	if _, usable := table.Count("s", later); usable != 1 {
+		t.Errorf("%d usable while it is tried", usable)
+	}
+	trial.End(fleet.VerdictGood, later)
+	if _, usable := table.Count("s", later); usable != 2 {
+		t.Errorf("%d usable after it answered", usable)
+	}
+}
+
+func TestLeastBusyEngineIsChosen(t *testing.T) {
+	table := with("a", "b", "c")
+	now := time.Now()
+	table.Report("a", fleet.Load{Running: 3, Taken: now})
+	table.Report("b", fleet.Load{Running: 1, Taken: now})
+	table.Report("c", fleet.Load{Running: 1, Waiting: 2, Taken: now})
+	got := table.Pick(&fleet.Query{Service: engine, Now: now})
+	if got.Replica.ID != "b" {
+		t.Errorf("chose %q", got.Replica.ID)
+	}
+	// Its own request counts at once, the old report does not count for ever.
+	if next := table.Pick(&fleet.Query{Service: engine, Now: now}); next.Replica.ID != "b" {
+		t.Errorf("chose %q for the second", next.Replica.ID)
+	}
+	if third := table.Pick(&fleet.Query{Service: engine, Now: now.Add(time.Hour)}); third.Replica.ID == "b" {
+		t.Error("an old report counts")
+	}
+}
+
+// TestRoomFollowsThePass gives fewer requests to engines whose passes are long.
+func TestRoomFollowsThePass(t *testing.T) {
+	taken := func(pass time.Duration, running int) int {
+		table := with("a")
+		now := time.Now()
+		table.Report("a", fleet.Load{Running: running, Pass: pass, Taken: now})
+		n := 0
+		for ; n < 10; n++ {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			query := &fleet.Query{Service: engine, Gap: 100 * time.Millisecond, Now: now}
+			if table.Acquire(ctx, query, fleet.Waiting{Aim: now, Last: now}) == nil {
+				break
+			}
+		}
+		return n
+	}
+	if n := taken(0, 0); n != 4 {
+		t.Errorf("an idle engine took %d, has 4 slots", n)
+	}
+	if n := taken(40*time.Millisecond, 2); n != 2 {
+		t.Errorf("a fast engine took %d beside 2, has 4 slots", n)
+	}
+	if n := taken(400*time.Millisecond, 0); n != 2 {
+		t.Errorf("a slow engine took %d", n)
+	}
+}
+
+// TestQueueServesThoseInTime serves the more urgent first, then those who can
+// still be in time, and tells those who wait too long.
+func TestQueueServesThoseInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := with("a")
+		start := time.Now()
+		var held []*fleet.Lease
+		for range 4 {
+			held = append(held, table.Acquire(t.Context(), &fleet.Query{Service: engine, Now: start}, fleet.Waiting{}))
+		}
+		order := make(chan string, 4)
+		var callers sync.WaitGroup
+		wait := func(name string, urgency catalog.Urgency, aim, last time.Duration) {
+			query := &fleet.Query{Service: engine, Urgency: urgency, Now: time.Now()}
+			lease := table.Acquire(t.Context(), query, fleet.Waiting{Aim: start.Add(aim), Last: start.Add(last)})
+			if lease == nil {
+				order <- name + " gave up"
+				return
+			}
+			order <- name
+			time.Sleep(time.Millisecond)
+			lease.End(fleet.VerdictGood, time.Now())
+		}
+		for _, x := range []struct {
+			name      string
+			urgency   catalog.Urgency
+			aim, last time.Duration
+		}{
+			{"late", 1, time.Second, time.Hour},
+			{"in time", 1, 20 * time.Second, time.Hour},
+			{"urgent", 0, time.Second, time.Hour},
+			{"impatient", 1, time.Second, 2 * time.Second},
+		} {
+			callers.Go(func() { wait(x.name, x.urgency, x.aim, x.last) })
+		}
+		defer callers.Wait()
+		time.Sleep(5 * time.Second)
+		held[0].End(fleet.VerdictGood, time.Now())
+		for _, want := range []string{"impatient gave up", "urgent", "in time", "late"} {
+			if got := <-order; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		}
+	})
+}
+
+// TestCrowdedGatewaysShare keeps each gateway to its part once nearly all room
+// is taken.
+func TestCrowdedGatewaysShare(t *testing.T) {
+	table := with("a", "b")
+	table.Share(4)
+	now := time.Now()
+	table.Report("a", fleet.Load{Running: 3, Taken: now})
+	table.Report("b", fleet.Load{Running: 3, Taken: now})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n := 0
+	for table.Acquire(ctx, &fleet.Query{Service: engine, Now: now}, fleet.Waiting{Aim: now, Last: now}) != nil {
+		n++
+	}
+	if n != 2 {
+		t.Errorf("one of four gateways took %d of 8 places", n)
+	}
+}
--- a/internal/core/forward/budgets.go
+++ b/internal/core/forward/budgets.go
@@ -33,7 +33,11 @@
 	}
 	found := b.services[s]
 	if found == nil {
-		found = &retry.Budget{Percent: b.Percent, Burst: b.Burst}
+		burst := b.Burst
+		if burst == nil {
+			burst = func() float64 { return 0 }
+		}
+		found = &retry.Budget{Percent: b.Percent, Burst: burst}
 		b.services[s] = found
 	}
 	return found
--- /dev/null
+++ b/internal/core/forward/forward_test.go
@@ -0,0 +1,329 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/conns"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/platform"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+// long is more than any of these tests takes.
+const long = 20 * time.Second
+
+// sink keeps what a caller gets.
+type sink struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	begun  bool
+	// gone makes every write fail.
+	gone bool
+}
+
+var errGone = errors.New("gone")
+
+func (s *sink) Whole(status int, h http.Header, body []byte) error {
+	if s.gone {
+		return errGone
+	}
+	s.status, s.header = status, h
+	s.body.Write(body)
+	return nil
+}
+
+func (s *sink) Begin(status int, h http.Header) error {
+	if s.gone {
+		return errGone
+	}
+	s.begun, s.status, s.header = true, status, h
+	return nil
+}
+
+func (s *sink) Events(b []byte) error {
+	s.body.Write(b)
+	return nil
+}
+
+// rig is a forwarder before scripted replicas, of which the first is preferred.
+type rig struct {
+	forward  *forward.Forwarder
+	replicas []*platformtest.Replica
+	route    *catalog.Route
+	sink     *sink
+	request  *forward.Request
+}
+
+func newRig(t *testing.T, kind catalog.RouteKind, scripts ...platformtest.Script) *rig {
+	t.Helper()
+	r := &rig{
+		sink: &sink{},
+		route: &catalog.Route{
+			Name: "r", Kind: kind, Resumable: kind == catalog.KindStream, Attempts: 2, Aim: time.Second,
+			Shares: []catalog.Share{{Service: "s", Weight: 1}},
+		},
+	}
+	table := &fleet.Table{}
+	for i, script := range scripts {
+		replica, err := platformtest.NewReplica(fmt.Sprintf("i-%d", i), script)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(replica.Close)
+		r.replicas = append(r.replicas, replica)
+		// The zone of the first is the forwarder's own.
+		zone := graniteknot.AvailabilityZone(fmt.Sprint("z", i))
+		table.Put(catalog.Replica{ID: catalog.ReplicaID(replica.ID), Service: "s", Address: replica.Address(), Zone: zone}, time.Now())
+	}
+	pool := &conns.Pool{}
+	t.Cleanup(pool.Close)
+	r.forward = &forward.Forwarder{
+		Dialect: platform.Dialect{}, Pool: pool, Fleet: table, Zone: "z0", Fresh: func() bool { return true },
+		ConnLimit: func(*catalog.Service) int { return 0 },
+		Budgets:   &forward.Budgets{Percent: func() int64 { return 100 }, Burst: func() float64 { return 20 }},
+	}
+	r.request = &forward.Request{
+		ID: "a1", Method: http.MethodPost, Target: "/p/x?q=1", Host: "h", Path: "/p/x", Header: http.Header{"X-Own": {"v"}},
+		Body: []byte("question"), Arrived: time.Now(),
+	}
+	return r
+}
+
+func (r *rig) do(ctx context.Context) forward.Result {
+	job := &forward.Job{
+		Request: r.request, Route: r.route, Service: &catalog.Service{Name: "s"},
+		Account: &catalog.Account{Name: "desk"}, End: time.Now().Add(long),
+	}
+	return r.forward.Do(ctx, job, r.sink)
+}
+
+func (r *rig) ran() int {
+	n := 0
+	for _, x := range r.replicas {
+		n += len(x.Ran())
+	}
+	return n
+}
+
+func TestAnswerPassesUnchanged(t *testing.T) {
+	r := newRig(t, catalog.KindOnce, platformtest.Answer("whole"))
+	result := r.do(context.Background())
+	if result.Outcome != graniteknot.OutcomeAnswered || r.sink.status != http.StatusOK || r.sink.body.String() != "whole" {
+		t.Fatalf("%+v, %d %q", result, r.sink.status, r.sink.body.String())
+	}
+	got := r.replicas[0].Ran()[0]
+	if got.RequestURI != "/p/x?q=1" || got.Host != "h" || got.Header.Get("X-Own") != "v" {
+		t.Errorf("the replica got %s %s %v", got.Host, got.RequestURI, got.Header)
+	}
+}
+
+// TestAtMostOnce runs every way in which a request that may not be repeated can
+// fail: it never runs twice, and "not run" is only said of one that did not run.
+func TestAtMostOnce(t *testing.T) {
+	cases := map[string]struct {
+		first   platformtest.Script
+		outcome graniteknot.Outcome
+		runs    int
+	}{
+		"answer lost":       {platformtest.Lose, graniteknot.OutcomeUnknown, 1},
+		"refused":           {platformtest.NotRun(http.StatusServiceUnavailable), graniteknot.OutcomeAnswered, 1},
+		"another life":      {platformtest.NotRun(http.StatusMisdirectedRequest), graniteknot.OutcomeAnswered, 1},
+		"failed":            {platformtest.Fail(http.StatusInternalServerError), graniteknot.OutcomeAnswered, 1},
+		"claims not to run": {platformtest.Fail(http.StatusServiceUnavailable), graniteknot.OutcomeUnknown, 1},
+		"cut answer": {func(x *platformtest.Exchange) {
+			x.Run()
+			x.Head(http.StatusOK, 100, platformtest.Seal)
+			x.Write("half")
+			x.Reset()
+		}, graniteknot.OutcomeUnknown, 1},
+		"reset without a length": {func(x *platformtest.Exchange) {
+			x.Run()
+			x.Head(http.StatusOK, -1, platformtest.Seal, "Connection: close")
+			x.Write("half")
+			x.Reset()
+		}, graniteknot.OutcomeUnknown, 1},
+		"no answer at all": {func(x *platformtest.Exchange) {
+			x.Run()
+			x.Write("SPOILED")
+			x.Close()
+		}, graniteknot.OutcomeUnknown, 1},
+		"no seal": {func(x *platformtest.Exchange) {
+			x.Run()
+			x.Head(http.StatusOK, 2)
+			x.Write("no")
+		}, graniteknot.OutcomeUnknown, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, catalog.KindOnce, c.first, platformtest.Answer("second"))
+			result := r.do(context.Background())
+			if result.Outcome != c.outcome || r.ran() != c.runs {
+				t.Errorf("outcome %v, want %v; ran %d times; %+v", result.Outcome, c.outcome, r.ran(), result)
+			}
+		})
+	}
+}
+
+func TestRepeatableIsTriedElsewhere(t *testing.T) {
+	for name, first := range map[string]platformtest.Script{
+		"lost": platformtest.Lose, "failed": platformtest.Fail(http.StatusInternalServerError),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, catalog.KindRepeatable, first, platformtest.Answer("second"))
+			result := r.do(context.Background())
+			if result.Outcome != graniteknot.OutcomeAnswered || r.sink.body.String() != "second" {
+				t.Errorf("%+v %q", result, r.sink.body.String())
+			}
+		})
+	}
+}
+
+// TestOwnFailureIsGiven gives a replica's failure when nothing better comes.
+func TestOwnFailureIsGiven(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Fail(http.StatusInternalServerError), platformtest.Lose)
+	result := r.do(context.Background())
+	if result.Outcome != graniteknot.OutcomeAnswered || r.sink.status != http.StatusInternalServerError {
+		t.Errorf("%+v, status %d", result, r.sink.status)
+	}
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Lose, platformtest.Answer("second"))
+	r.forward.Budgets = &forward.Budgets{}
+	if result := r.do(context.Background()); result.Reason != forward.ReasonBudget || r.ran() != 1 {
+		t.Errorf("%+v, ran %d times", result, r.ran())
+	}
+}
+
+func TestSurplusAnswerIsSkipped(t *testing.T) {
+	r := newRig(t, catalog.KindOnce, platformtest.Surplus("mine"))
+	if result := r.do(context.Background()); r.sink.body.String() != "mine" {
+		t.Errorf("%+v %q", result, r.sink.body.String())
+	}
+}
+
+func TestStreamResumesAtTheNextEvent(t *testing.T) {
+	r := newRig(t, catalog.KindStream, platformtest.Stream(3, false), platformtest.Stream(6, true))
+	result := r.do(context.Background())
+	want := ""
+	for i := 1; i <= 6; i++ {
+		want += platformtest.Event(i, "token")
+	}
+	if result.Outcome != graniteknot.OutcomeAnswered || r.sink.body.String() != want {
+		t.Errorf("%+v\n%q", result, r.sink.body.String())
+	}
+}
+
+func TestStreamThatMayNotResumeIsBrokenOff(t *testing.T) {
+	r := newRig(t, catalog.KindStream, platformtest.Stream(3, false), platformtest.Stream(6, true))
+	r.route.Resumable = false
+	result := r.do(context.Background())
+	if result.Outcome != graniteknot.OutcomeUnknown || !result.Begun || r.ran() != 1 {
+		t.Errorf("%+v, ran %d times", result, r.ran())
+	}
+}
+
+// TestStaleConfiguration refuses at the first try and at a later one.
+func TestStaleConfiguration(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Lose, platformtest.Answer("second"))
+	looks := 0
+	r.forward.Fresh = func() bool { looks++; return looks < 2 }
+	result := r.do(context.Background())
+	if result.Reason != forward.ReasonStale || result.Outcome != graniteknot.OutcomeUnknown || r.ran() != 1 {
+		t.Errorf("%+v, ran %d times", result, r.ran())
+	}
+	r.forward.Fresh = func() bool { return false }
+	if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeNotRun || r.ran() != 1 {
+		t.Errorf("%+v, ran %d times", result, r.ran())
+	}
+}
+
+func TestCallerGoneCancelsTheRun(t *testing.T) {
+	arrived := make(chan struct{})
+	ended := make(chan struct{})
+	r := newRig(t, catalog.KindRepeatable, func(x *platformtest.Exchange) {
+		x.Run()
+		close(arrived)
+		x.WaitClosed()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	results := make(chan forward.Result, 1)
+	var callers sync.WaitGroup
+	callers.Go(func() { results <- r.do(ctx) })
+	<-arrived
+	cancel()
+	if result := <-results; result.Reason != forward.ReasonCallerGone {
+		t.Errorf("%+v", result)
+	}
+	<-ended
+}
+
+func TestTimeoutIsAnsweredAtOnce(t *testing.T) {
+	r := newRig(t, catalog.KindOnce, func(x *platformtest.Exchange) {
+		x.Run()
+		x.WaitClosed()
+	})
+	job := &forward.Job{Request: r.request, Route: r.route, Service: &catalog.Service{Name: "s"}, End: time.Now().Add(50 * time.Millisecond)}
+	result := r.forward.Do(context.Background(), job, r.sink)
+	if result.Reason != forward.ReasonTimeout || result.Outcome != graniteknot.OutcomeUnknown {
+		t.Errorf("%+v", result)
+	}
+}
+
+// TestConnectionIsReused keeps a connection for the next request, unless bytes
+// are left on it.
+func TestConnectionIsReused(t *testing.T) {
+	r := newRig(t, catalog.KindOnce, platformtest.Answer("one"))
+	for range 3 {
+		r.do(context.Background())
+	}
+	if n := r.replicas[0].Opened(); n != 1 {
+		t.Errorf("%d connections opened for three requests", n)
+	}
+	extra := newRig(t, catalog.KindOnce, func(x *platformtest.Exchange) {
+		x.Run()
+		x.Head(http.StatusOK, 2, platformtest.Seal)
+		x.Write("ok" + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+	})
+	extra.do(context.Background())
+	extra.sink.body.Reset()
+	result := extra.do(context.Background())
+	if result.Outcome != graniteknot.OutcomeAnswered || extra.sink.body.String() != "ok" {
+		t.Errorf("%+v %q", result, extra.sink.body.String())
+	}
+}
+
+func TestConnectionLimit(t *testing.T) {
+	arrived := make(chan struct{})
+	r := newRig(t, catalog.KindOnce, func(x *platformtest.Exchange) {
+		x.Run()
+		close(arrived)
+		x.WaitClosed()
+	})
+	r.forward.ConnLimit = func(*catalog.Service) int { return 1 }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := make(chan forward.Result, 1)
+	var callers sync.WaitGroup
+	callers.Go(func() { first <- r.do(ctx) })
+	<-arrived
+	other := &sink{}
+	job := &forward.Job{Request: r.request, Route: r.route, Service: &catalog.Service{Name: "s"}, End: time.Now().Add(long)}
+	if result := r.forward.Do(context.Background(), job, other); result.Outcome != graniteknot.OutcomeNotRun || result.Reason != forward.ReasonBusy {
+		t.Errorf("%+v", result)
+	}
+	cancel()
+	<-first
+}
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -81,8 +81,8 @@
 	sequence held.Version
 	// prepared is when each rank was last told to prepare.
 	prepared []time.Time
-	window window
-	pace   pace
+	window   window
+	pace     pace
 	// phase is the last decision's; since is when it began.
 	phase   held.Phase
 	since   time.Time
--- /dev/null
+++ b/planner/next_test.go
@@ -0,0 +1,134 @@
+package planner_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/planner"
+)
+
+// unevenLoads gives a few experts of each layer most of the tokens.
+func unevenLoads(s planner.Shape, seed uint64) planner.Loads {
+	random := rand.New(rand.NewPCG(seed, 9))
+	loads := planner.NewLoads(s)
+	for l := range loads {
+		for i, e := range random.Perm(s.Experts) {
+			loads[l][e] = 1000 / float64(i+1)
+		}
+	}
+	return loads
+}
+
+// TestPlanNextKeepsItsRoom checks the shape of every map on the way from the one
+// that groups open with: every expert has a place, no rank holds one twice, and
+// no rank loads more than it may.
+func TestPlanNextKeepsItsRoom(t *testing.T) {
+	for _, s := range []planner.Shape{
+		{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}, {Layers: 2, Experts: 252, Ranks: 63, Slots: 5},
+	} {
+		for seed := range uint64(5) {
+			room := planner.Room{PerLayer: 2, PerRank: 1 + int(seed)}
+			p := &planner.Planner{Shape: s, Smoothing: 1}
+			p.Observe(unevenLoads(s, seed))
+			now := planner.NewDealt(s)
+			first := p.PlanNext(now, room)
+			for range 30 {
+				next := p.PlanNext(now, room)
+				checkMap(t, s, next.Placement)
+				checkRoom(t, s, now, next, room)
+				if next.After > next.Before {
+					t.Fatalf("skew rises from %.3f to %.3f", next.Before, next.After)
+				}
+				now = next.Placement
+			}
+			loads := unevenLoads(s, seed)
+			if got := now.Skew(loads); got > 1.15 && got > 1.1*planner.LowerBound(s, loads) {
+				t.Errorf("%d ranks, seed %d: skew %.3f after 30 maps, %.3f before", s.Ranks, seed, got, first.Before)
+			}
+		}
+	}
+}
+
+func checkMap(t *testing.T, s planner.Shape, p *planner.Placement) {
+	t.Helper()
+	for l := range s.Layers {
+		placed := make([]bool, s.Experts)
+		for r := range s.Ranks {
+			seen := map[graniteknot.Expert]bool{}
+			for _, e := range p.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				if e == planner.Blank {
+					continue
+				}
+				if seen[e] {
+					t.Fatalf("rank %d holds expert %d twice", r, e)
+				}
+				seen[e], placed[e] = true, true
+			}
+		}
+		for e, ok := range placed {
+			if !ok {
+				t.Fatalf("layer %d: expert %d has no place", l, e)
+			}
+		}
+	}
+}
+
+func checkRoom(t *testing.T, s planner.Shape, now *planner.Placement, next planner.Next, room planner.Room) {
+	t.Helper()
+	all, longest := 0, 0
+	for r := range s.Ranks {
+		rank := 0
+		for l := range s.Layers {
+			layer := 0
+			had := map[graniteknot.Expert]bool{}
+			for _, e := range now.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				had[e] = true
+			}
+			for _, e := range next.Placement.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				if e != planner.Blank && !had[e] {
+					layer++
+				}
+			}
+			if layer > room.PerLayer {
+				t.Fatalf("rank %d loads %d of layer %d", r, layer, l)
+			}
+			rank += layer
+		}
+		if rank > room.PerRank {
+			t.Fatalf("rank %d loads %d", r, rank)
+		}
+		all, longest = all+rank, max(longest, rank)
+	}
+	if all != next.Moves || longest != next.Longest {
+		t.Fatalf("told %d moves, at most %d a rank; found %d and %d", next.Moves, next.Longest, all, longest)
+	}
+}
+
+// TestThresholdSavesMoves leaves alone what gains little.
+func TestThresholdSavesMoves(t *testing.T) {
+	s := planner.Shape{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}
+	moves := func(threshold float64) int {
+		p := &planner.Planner{Shape: s, Smoothing: 1, Threshold: threshold}
+		p.Observe(unevenLoads(s, 3))
+		return p.PlanNext(planner.NewDealt(s), planner.Room{PerLayer: 3}).Moves
+	}
+	if few, many := moves(0.1), moves(0.002); few == 0 || few >= many {
+		t.Errorf("%d moves with a high threshold, %d with a low one", few, many)
+	}
+}
+
+func BenchmarkPlanNext(b *testing.B) {
+	for name, s := range map[string]planner.Shape{
+		"12x4x72": {Layers: 4, Experts: 72, Ranks: 12, Slots: 8}, "63x8x252": {Layers: 8, Experts: 252, Ranks: 63, Slots: 5},
+	} {
+		b.Run(name, func(b *testing.B) {
+			p := &planner.Planner{Shape: s, Smoothing: 1, Threshold: 0.06}
+			p.Observe(unevenLoads(s, 1))
+			now := planner.NewDealt(s)
+			for b.Loop() {
+				p.PlanNext(now, planner.Room{PerLayer: 3, PerRank: 1})
+			}
+		})
+	}
+}
