--- a/cmd/graniteknot/cmd/direct.go
+++ b/cmd/graniteknot/cmd/direct.go
@@ -66,7 +66,9 @@
 	if err := p.Start(ctx); err != nil {
 		return err
 	}
-	<-signals
+	watched := settingsFile{path: file, role: role, process: p}
+	watched.note()
+	watched.until(signals, hangups)
 	ctx, cancel := context.WithTimeout(ctx, config.Stop+stopMargin)
 	defer cancel()
 	return p.Stop(ctx)
--- a/internal/core/directapp/app.go
+++ b/internal/core/directapp/app.go
@@ -12,6 +12,7 @@
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/gateway"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/internal/core/sidecar"
 )
@@ -38,6 +39,7 @@
 type Process struct {
 	app   *fx.App
 	lines *eventlog.Writer
+	role  role
 }
 
 // New builds the process that its settings describe.
@@ -47,20 +49,24 @@
 	}
 	log := eventlog.New(p.Lines, p.Config.Box, string(p.Config.Role))
 	born := graniteknot.Incarnation(rand.Uint64())
-	role := fx.Module("gateway",
-		fx.Supply(gateway.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Log: log, Born: born}),
-		fx.Provide(gateway.New), fx.Invoke(runGateway),
+	module := fx.Module("gateway",
+		fx.Supply(gateway.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Log: log, Lines: p.Lines, Meter: meter.New(), Born: born}),
+		fx.Provide(fx.Annotate(gateway.New, fx.As(new(role)))), fx.Invoke(run),
 	)
 	if p.Config.Role == directconf.RoleSidecar {
-		role = fx.Module("sidecar",
-			fx.Supply(sidecar.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Rank: p.Rank, Log: log, Born: born}),
-			fx.Provide(sidecar.New), fx.Invoke(runSidecar),
+		module = fx.Module("sidecar",
+			fx.Supply(sidecar.Parts{Config: p.Config, Store: p.Store, Translator: p.Translator, Rank: p.Rank, Log: log, Lines: p.Lines, Meter: meter.New(), Born: born}),
+			fx.Provide(fx.Annotate(sidecar.New, fx.As(new(role)))), fx.Invoke(run),
 		)
 	}
-	app := fx.New(fx.NopLogger, role)
-	return &Process{app: app, lines: p.Lines}, app.Err()
+	made := &Process{lines: p.Lines}
+	made.app = fx.New(fx.NopLogger, module, fx.Populate(&made.role))
+	return made, made.app.Err()
 }
 
+// Reload takes new settings into force, as far as a running process can.
+func (p *Process) Reload(c *directconf.Config) { p.role.Reload(c) }
+
 // Start starts the process.
 func (p *Process) Start(ctx context.Context) error { return p.app.Start(ctx) }
 
@@ -75,12 +81,9 @@
 type role interface {
 	Start(ctx context.Context) error
 	Stop(ctx context.Context)
+	Reload(c *directconf.Config)
 }
 
-func runGateway(l fx.Lifecycle, g *gateway.Gateway) { run(l, g) }
-
-func runSidecar(l fx.Lifecycle, s *sidecar.Sidecar) { run(l, s) }
-
 func run(l fx.Lifecycle, r role) {
 	l.Append(fx.Hook{
 		OnStart: r.Start,
--- a/internal/core/eventlog/log.go
+++ b/internal/core/eventlog/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -35,3 +36,9 @@
 	}
 	l.logger.LogAttrs(context.Background(), level, event, fields...)
 }
+
+// Milliseconds is a duration as log lines tell it, to the microsecond.
+func Milliseconds(name string, d time.Duration) slog.Attr {
+	const micros = 1000
+	return slog.Float64(name+"_ms", float64(d.Microseconds())/micros)
+}
--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -23,11 +23,30 @@
 	VerdictGone
 )
 
+// Inputs are what a replica was chosen on.
+type Inputs struct {
+	// Own and Others are the requests at the replica, this process's and others'.
+	Own, Others int
+	// Room is how many it may have; 0 is no bound.
+	Room int
+	// Pass is how long its group's passes take; 0 is unknown.
+	Pass time.Duration
+	// ReportAge is how old its report is; 0 without one.
+	ReportAge time.Duration
+	// Waited is how long the request waited for room.
+	Waited time.Duration
+	// Trial tells that the replica had failed before.
+	Trial bool
+}
+
 // Lease is one request's place at a replica.
 type Lease struct {
 	// Replica is the record as it was when the place was taken.
 	Replica catalog.Replica
 
+	// Inputs are what the choice was made on.
+	Inputs Inputs
+
 	table  *Table
 	target *target
 	size   catalog.Size
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -20,6 +20,8 @@
 	// Zone is preferred among equals.
 	Zone graniteknot.AvailabilityZone
 	Now  time.Time
+	// Asked is when the choice was first asked for.
+	Asked time.Time
 }
 
 // Pick chooses a replica and takes a place there; nil when there is none.
@@ -52,7 +54,7 @@
 }
 
 func (t *Table) lease(x *target, q *Query) *Lease {
-	l := &Lease{Replica: x.replica, table: t, target: x, size: q.Size, sent: q.Now}
+	l := &Lease{Replica: x.replica, Inputs: t.inputs(x, q), table: t, target: x, size: q.Size, sent: q.Now}
 	if x.failures >= patience {
 		l.trial, x.trial = true, true
 	}
@@ -60,6 +62,22 @@
 	return l
 }
 
+// inputs tells what a choice was made on.
+func (t *Table) inputs(x *target, q *Query) Inputs {
+	in := Inputs{Own: len(x.own), Others: x.others(q.Now), Pass: x.load.Pass, Trial: x.failures >= patience}
+	if !x.load.Taken.IsZero() {
+		in.ReportAge = q.Now.Sub(x.load.Taken)
+	}
+	if !q.Asked.IsZero() {
+		in.Waited = q.Now.Sub(q.Asked)
+	}
+	if e := q.Service.Engine; e != nil {
+		g := t.load(t.services[q.Service.Name], q.Now)
+		in.Room = room(e, q.Gap, g.pass, g.running)
+	}
+	return in
+}
+
 // cost orders replicas for a request; the least is chosen.
 func (t *target) cost(q *Query) float64 {
 	busy := float64(len(t.own) + t.others(q.Now))
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"graniteknot.org/go/internal/core/conns"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/meter"
 )
 
 // Forwarder takes requests to replicas. Set the exported fields.
@@ -20,6 +21,7 @@
 	Fleet   *fleet.Table
 	Budgets *Budgets
 	Log     *eventlog.Log
+	Meter   *meter.Meter
 	Zone    graniteknot.AvailabilityZone
 	// Fresh tells whether the configuration is new enough to trust a key.
 	Fresh func() bool
@@ -116,9 +118,10 @@
 }
 
 func (r *run) query() *fleet.Query {
+	now := time.Now()
 	return &fleet.Query{
 		Service: r.job.Service, Size: r.job.Size, Urgency: r.job.Urgency(), Gap: r.job.Route.GapAim,
-		Tried: r.tried, Zone: r.f.Zone, Now: time.Now(),
+		Tried: r.tried, Zone: r.f.Zone, Now: now, Asked: now,
 	}
 }
 
@@ -210,11 +213,19 @@
 	}
 }
 
+// logAttempt writes the line of one attempt: what it was decided on, and how it
+// ended.
 func (r *run) logAttempt(l *fleet.Lease, v fleet.Verdict, why Reason) {
+	r.f.Meter.Count("graniteknot_attempts_total",
+		meter.Label{Name: "service", Value: string(l.Replica.Service)}, meter.Label{Name: "verdict", Value: v.String()},
+		meter.Label{Name: "reason", Value: string(why)})
+	in := l.Inputs
 	fields := []slog.Attr{
 		slog.String("request", string(r.job.ID)), slog.Int("attempt", r.result.Attempts),
 		slog.String("replica", string(l.Replica.ID)), slog.String("address", string(l.Replica.Address)),
-		slog.String("verdict", v.String()), slog.Duration("since_arrival", time.Since(r.job.Arrived)),
+		slog.String("verdict", v.String()), eventlog.Milliseconds("since_arrival", time.Since(r.job.Arrived)),
+		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Bool("trial", in.Trial),
+		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
 	}
 	if why == ReasonNone {
 		r.f.Log.Info("attempt", fields...)
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"graniteknot.org/go/internal/core/eventlog"
+
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/internal/core/watch"
@@ -58,8 +60,9 @@
 	}
 	if changed {
 		g.servers.limit(newest.Limits)
+		g.serviceGauges(newest)
 		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
-			slog.Duration("read_took", time.Since(began)))
+			eventlog.Milliseconds("read_took", time.Since(began)))
 	}
 }
 
@@ -133,6 +136,6 @@
 	}
 	stale := age >= g.keyAge()
 	if g.stale.Swap(stale) != stale {
-		g.Log.Warn("configuration age", slog.Bool("stale", stale), slog.Int64("version", int64(tree.Version)), slog.Duration("age", age))
+		g.Log.Warn("configuration age", slog.Bool("stale", stale), slog.Int64("version", int64(tree.Version)), eventlog.Milliseconds("age", age))
 	}
 }
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/forward"
 	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/watch"
 )
@@ -37,7 +38,10 @@
 	Store      graniteknot.KeyedStore
 	Translator Translator
 	Log        *eventlog.Log
-	Born       graniteknot.Incarnation
+	// Lines is the log's writer; nil when nothing counts what it drops.
+	Lines *eventlog.Writer
+	Meter *meter.Meter
+	Born  graniteknot.Incarnation
 }
 
 // Gateway is the process. Make it with New.
@@ -55,16 +59,21 @@
 	group   group.Group
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
+	// bounds are the settings that a reload changes; the rest of Config is fixed
+	// for the life of the process.
+	bounds atomic.Pointer[directconf.Config]
 	// stale tells that the last look found the configuration too old.
 	stale atomic.Bool
 }
 
 // New returns a gateway that does nothing until Start.
 func New(p Parts) *Gateway {
+	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	g := &Gateway{Parts: p}
+	g.bounds.Store(p.Config)
 	g.Health.Log = p.Log
 	g.Forward = forward.Forwarder{
-		Dialect: p.Translator, Pool: &g.Pool, Fleet: &g.Fleet, Log: p.Log, Zone: p.Config.Zone,
+		Dialect: p.Translator, Pool: &g.Pool, Fleet: &g.Fleet, Log: p.Log, Meter: p.Meter, Zone: p.Config.Zone,
 		Fresh: g.fresh, ConnLimit: g.connLimit,
 		Budgets: &forward.Budgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
@@ -82,6 +91,7 @@
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
+	g.gauges()
 	g.follow()
 	g.Log.Info("started", slog.String("requests", string(c.Requests)), slog.String("zone", string(c.Zone)),
 		slog.String("store", string(c.Store)), slog.Uint64("born", uint64(g.Born)))
@@ -157,7 +167,7 @@
 	return tree != nil && (!tree.Tenanted || age < g.keyAge())
 }
 
-func (g *Gateway) keyAge() time.Duration { return g.Config.KeyAge - keyMargin }
+func (g *Gateway) keyAge() time.Duration { return g.bounds.Load().KeyAge - keyMargin }
 
 func (g *Gateway) fresh() bool {
 	tree, age := g.Trees.Current(time.Now())
@@ -180,8 +190,8 @@
 // and the gateways do not see each other's retries.
 const retryShare = 0.7
 
-func (g *Gateway) retryPercent() int64 { return int64(retryShare * g.Config.RetryPercent) }
+func (g *Gateway) retryPercent() int64 { return int64(retryShare * g.bounds.Load().RetryPercent) }
 
 func (g *Gateway) retryBurst() float64 {
-	return retryShare * g.Config.RetryExtra / float64(g.gateways())
+	return retryShare * g.bounds.Load().RetryExtra / float64(g.gateways())
 }
--- a/internal/core/gateway/listen.go
+++ b/internal/core/gateway/listen.go
@@ -53,7 +53,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	life := time.Duration(answerShare * float64(g.Config.AnswerLife))
+	life := time.Duration(answerShare * float64(g.bounds.Load().AnswerLife))
 	if err := g.Translator.Addresses(w, list, life); err != nil {
 		g.Log.Warn("address answer: " + err.Error())
 	}
--- a/internal/core/gateway/metrics.go
+++ b/internal/core/gateway/metrics.go
@@ -2,12 +2,74 @@
 
 import (
 	"net/http"
+	"time"
 
-	"github.com/VictoriaMetrics/metrics"
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/internal/core/meter"
+	"graniteknot.org/go/internal/core/presence"
 )
 
 // answerMetrics writes the process's figures in text form.
 func (g *Gateway) answerMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	metrics.WritePrometheus(w, false)
+	g.Meter.Write(w)
+}
+
+// gauges has the gateway's state read whenever its figures are told.
+func (g *Gateway) gauges() {
+	g.Meter.Gauge("graniteknot_configuration_age_seconds", func() float64 {
+		_, age := g.Trees.Current(time.Now())
+		return age.Seconds()
+	})
+	g.Meter.Gauge("graniteknot_configuration_version", func() float64 {
+		tree, _ := g.Trees.Current(time.Now())
+		if tree == nil {
+			return 0
+		}
+		return float64(tree.Version)
+	})
+	g.Meter.Gauge("graniteknot_gateways_alive", func() float64 {
+		return float64(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, time.Now())) + 1)
+	})
+	g.Meter.Gauge("graniteknot_replicas_known", func() float64 { return float64(len(g.Fleet.IDs())) })
+	g.Meter.Gauge("graniteknot_replica_connections_opened", func() float64 { return float64(g.Pool.Opened()) })
+	g.Meter.Gauge("graniteknot_log_lines_dropped", func() float64 { return float64(g.dropped()) })
+}
+
+// dropped counts the log lines that did not fit.
+func (g *Gateway) dropped() uint64 {
+	if g.Lines == nil {
+		return 0
+	}
+	return g.Lines.Dropped()
+}
+
+// serviceGauges adds the gauges of the services in a configuration.
+func (g *Gateway) serviceGauges(tree *catalog.Tree) {
+	for _, s := range tree.Services() {
+		label := meter.Label{Name: "service", Value: string(s.Name)}
+		g.Meter.Gauge("graniteknot_requests_queued", func() float64 { return float64(g.Fleet.Queued(s)) }, label)
+		g.Meter.Gauge("graniteknot_replicas_usable", func() float64 {
+			_, usable := g.Fleet.Count(s.Name, time.Now())
+			return float64(usable)
+		}, label)
+	}
+}
+
+// count takes a request's end into the figures.
+func (x *exchange) count(r *forward.Result) {
+	m := x.gateway.Meter
+	kind := meter.Label{Name: "kind", Value: x.job.Route.Kind.String()}
+	service := meter.Label{Name: "service", Value: string(x.job.Service.Name)}
+	m.Count("graniteknot_requests_total", service, kind,
+		meter.Label{Name: "outcome", Value: r.Outcome.String()}, meter.Label{Name: "reason", Value: string(r.Reason)})
+	m.Observe("graniteknot_request_seconds", time.Since(x.request.Arrived), service, kind)
+	if r.Outcome == graniteknot.OutcomeAnswered {
+		m.Observe("graniteknot_first_byte_seconds", r.First, service, kind)
+	}
+	if r.Pause > 0 {
+		m.Observe("graniteknot_longest_pause_seconds", r.Pause, service)
+	}
 }
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"time"
 
+	"graniteknot.org/go/internal/core/eventlog"
+
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/internal/core/meter"
 )
 
 // refusedAgain is when a caller may come back that was refused for want of
@@ -119,8 +122,9 @@
 // refuse answers a request that was handed to no replica.
 func (x *exchange) refuse(status int, reason string, again time.Duration) {
 	x.fail(status, again)
+	x.gateway.Meter.Count("graniteknot_refused_total", meter.Label{Name: "reason", Value: reason})
 	x.gateway.Log.Warn("refused", slog.String("request", string(x.request.ID)), slog.Int("status", status),
-		slog.String("reason", reason), slog.Int64("version", int64(x.version)), slog.Duration("version_age", x.age),
+		slog.String("reason", reason), slog.Int64("version", int64(x.version)), eventlog.Milliseconds("version_age", x.age),
 		slog.String("host", x.request.Host), slog.String("path", x.request.Path))
 }
 
@@ -165,15 +169,17 @@
 	return max(r.Again, refusedAgain)
 }
 
+// log writes the line that closes a request's story.
 func (x *exchange) log(result *forward.Result, status int) {
+	x.count(result)
 	fields := []slog.Attr{
 		slog.String("request", string(x.request.ID)), slog.String("outcome", result.Outcome.String()),
 		slog.Int("status", status), slog.String("service", string(x.job.Service.Name)),
 		slog.String("route", x.job.Route.Name), slog.String("kind", x.job.Route.Kind.String()),
 		slog.Int("attempts", result.Attempts), slog.String("replica", result.Replica),
-		slog.Duration("first", result.First), slog.Duration("pause", result.Pause),
-		slog.Duration("took", time.Since(x.request.Arrived)),
-		slog.Int64("version", int64(x.version)), slog.Duration("version_age", x.age),
+		eventlog.Milliseconds("first", result.First), eventlog.Milliseconds("pause", result.Pause),
+		eventlog.Milliseconds("took", time.Since(x.request.Arrived)),
+		slog.Int64("version", int64(x.version)), eventlog.Milliseconds("version_age", x.age),
 	}
 	if x.job.Account != nil {
 		fields = append(fields, slog.String("account", string(x.job.Account.Name)))
--- a/internal/core/gateway/stop.go
+++ b/internal/core/gateway/stop.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
+
+	"graniteknot.org/go/internal/core/eventlog"
 )
 
 const (
@@ -20,16 +21,16 @@
 func (g *Gateway) Stop(ctx context.Context) {
 	began := time.Now()
 	g.leaving.Store(true)
-	g.Log.Info("leaving", slog.Duration("bound", g.Config.Stop))
+	g.Log.Info("leaving", eventlog.Milliseconds("bound", g.bounds.Load().Stop))
 	g.hello()
 	wait(ctx, farewell)
-	bounded, cancel := context.WithDeadline(ctx, began.Add(g.Config.Stop-lastPart))
+	bounded, cancel := context.WithDeadline(ctx, began.Add(g.bounds.Load().Stop-lastPart))
 	defer cancel()
 	g.servers.close(bounded)
 	g.group.Stop()
 	g.socket.Close()
 	g.Pool.Close()
-	g.Log.Info("stopped", slog.Duration("took", time.Since(began)))
+	g.Log.Info("stopped", eventlog.Milliseconds("took", time.Since(began)))
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -9,6 +9,7 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/planner"
 )
@@ -30,6 +31,7 @@
 	// sidecar.
 	Target graniteknot.Address
 	Log    *eventlog.Log
+	Meter  *meter.Meter
 
 	mu sync.Mutex
 	// fence is the highest that was heard, heard when.
@@ -103,10 +105,13 @@
 	defer cancel()
 	began := time.Now()
 	result, tries, err := d.try(ctx, c)
+	d.Meter.Count("graniteknot_orders_total",
+		meter.Label{Name: "order", Value: c.Kind.String()}, meter.Label{Name: "result", Value: result.String()})
+	d.Meter.Observe("graniteknot_order_seconds", time.Since(began), meter.Label{Name: "order", Value: c.Kind.String()})
 	fields := []slog.Attr{
 		slog.String("order", c.Kind.String()), slog.Int64("map", int64(c.Version)), slog.Uint64("step", uint64(c.Step)),
 		slog.Int64("epoch", int64(c.Epoch)), slog.Int64("fence", int64(c.Fence)), slog.String("result", result.String()),
-		slog.Int("tries", tries), slog.Duration("took", time.Since(began)),
+		slog.Int("tries", tries), eventlog.Milliseconds("took", time.Since(began)),
 	}
 	if err != nil {
 		d.Log.Warn("order", append(fields, slog.String("error", err.Error()))...)
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -9,6 +9,7 @@
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/planner"
 )
@@ -64,6 +65,7 @@
 	// Members are all ranks, in order.
 	Members []*Member
 	Log     *eventlog.Log
+	Meter   *meter.Meter
 }
 
 // Keeper keeps one group's map while it holds the highest fence. It is used by
@@ -87,12 +89,6 @@
 	phase   held.Phase
 	since   time.Time
 	counted time.Time
-	stats   Stats
-}
-
-// Stats is what a keeper did.
-type Stats struct {
-	Switches, Moves int
 }
 
 // NewKeeper returns a keeper that does nothing until Run.
@@ -186,9 +182,13 @@
 	}
 	now := time.Now()
 	k.pace.enter(p, now)
+	if k.since.IsZero() {
+		k.since = now
+	}
+	k.Meter.Observe("graniteknot_map_phase_seconds", now.Sub(k.since), meter.Label{Name: "phase", Value: k.phase.String()})
 	k.Log.Info("switch", slog.String("phase", p.String()), slog.String("former", k.phase.String()),
 		slog.Int64("map", int64(k.wish.Version)), slog.Int64("in_force", int64(k.mapping)), slog.Int64("epoch", int64(k.epoch)),
-		slog.Int64("fence", int64(k.Fence)), slog.Duration("former_took", now.Sub(k.since)))
+		slog.Int64("fence", int64(k.Fence)), eventlog.Milliseconds("former_took", now.Sub(k.since)))
 	k.phase, k.since = p, now
 }
 
@@ -248,7 +248,7 @@
 	switch {
 	case k.placement != nil && states[0].Epoch == k.epoch && newest == k.wish.Version && k.offered != nil:
 		k.placement = k.offered
-		k.stats.Switches++
+		k.Meter.Count("graniteknot_map_switches_total")
 	case newest == 0:
 		k.placement = planner.NewDealt(k.Planner.Shape)
 	case !listed(looks):
@@ -312,7 +312,7 @@
 		return
 	}
 	k.offered, k.wish.Version = next.Placement, k.version()
-	k.stats.Moves += next.Moves
+	k.Meter.Add("graniteknot_experts_loaded_total", next.Moves)
 	k.Log.Info("map planned", slog.Int64("map", int64(k.wish.Version)), slog.Int("moves", next.Moves),
 		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(k.epoch)))
 }
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -96,7 +96,7 @@
 	}
 	k := ranks.NewKeeper(ranks.Parts{
 		// Positions begin at 0, fences at 1.
-		Fence: at + 1, Home: report.Rank, Engine: engine, Log: s.Log, Members: members,
+		Fence: at + 1, Home: report.Rank, Engine: engine, Log: s.Log, Meter: s.Meter, Members: members,
 		Planner: &planner.Planner{Shape: shape, Threshold: moveThreshold, Smoothing: 1},
 	})
 	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/internal/core/watch"
@@ -43,7 +44,10 @@
 	// Rank reaches the replica at an address.
 	Rank func(graniteknot.Address) ranks.Rank
 	Log  *eventlog.Log
-	Born graniteknot.Incarnation
+	// Lines is the log's writer; nil when nothing counts what it drops.
+	Lines *eventlog.Writer
+	Meter *meter.Meter
+	Born  graniteknot.Incarnation
 }
 
 // Sidecar is the process. Make it with New.
@@ -56,7 +60,9 @@
 	doer   *ranks.Doer
 	socket *presence.Socket
 	server *http.Server
-	group  group.Group
+	// figures serves the metrics; nil without an address for them.
+	figures *http.Server
+	group   group.Group
 
 	mu sync.Mutex
 	// report is the last one of the own rank, read when.
@@ -68,9 +74,10 @@
 
 // New returns a sidecar that does nothing until Start.
 func New(p Parts) *Sidecar {
+	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	s := &Sidecar{Parts: p, own: p.Rank(p.Config.Target)}
 	s.Health.Log = p.Log
-	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log}
+	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log, Meter: p.Meter}
 	return s
 }
 
@@ -106,6 +113,28 @@
 	}
 	s.server = &http.Server{Handler: wire.NewRanksServer(s.doer), ReadHeaderTimeout: headTime}
 	s.group.Go(func(context.Context) { _ = s.server.Serve(listener) })
+	return s.listenMetrics(ctx)
+}
+
+// listenMetrics tells the sidecar's figures at the address in its settings.
+func (s *Sidecar) listenMetrics(ctx context.Context) error {
+	if s.Config.Metrics == "" {
+		return nil
+	}
+	if s.Lines != nil {
+		s.Meter.Gauge("graniteknot_log_lines_dropped", func() float64 { return float64(s.Lines.Dropped()) })
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp4", string(s.Config.Metrics))
+	if err != nil {
+		return err
+	}
+	answer := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		s.Meter.Write(w)
+	}
+	s.figures = &http.Server{Handler: http.HandlerFunc(answer), ReadHeaderTimeout: headTime}
+	s.group.Go(func(context.Context) { _ = s.figures.Serve(listener) })
 	return nil
 }
 
@@ -155,6 +184,12 @@
 	return s.report, now.Sub(s.read)
 }
 
+// Reload takes note of new settings. All of a sidecar's are fixed for its life,
+// so what has changed is in force once the process starts anew.
+func (s *Sidecar) Reload(c *directconf.Config) {
+	s.Log.Info("reloaded", slog.Bool("needs_restart", *s.Config != *c))
+}
+
 // Stop ends the sidecar.
 func (s *Sidecar) Stop(ctx context.Context) {
 	s.Log.Info("leaving")
@@ -163,6 +198,9 @@
 	if err := s.server.Shutdown(bounded); err != nil {
 		_ = s.server.Close()
 	}
+	if s.figures != nil {
+		_ = s.figures.Close()
+	}
 	s.group.Stop()
 	s.socket.Close()
 	s.Log.Info("stopped")
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -31,7 +31,7 @@
 	if h.down.IsZero() {
 		return
 	}
-	h.Log.Info("store regained", slog.Duration("away", now.Sub(h.down)))
+	h.Log.Info("store regained", eventlog.Milliseconds("away", now.Sub(h.down)))
 	h.down, h.back = time.Time{}, now
 }
 
