--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -93,6 +93,7 @@
 	registerAddresses(app, commands)
 	registerStatus(app, commands)
 	registerTimeline(app, commands)
+	registerExplain(app, commands)
 	registerStandin(app, commands)
 }
 
--- /dev/null
+++ b/internal/core/explain/cause.go
@@ -0,0 +1,94 @@
+package explain
+
+import "fmt"
+
+// cause says why a request ended as it did, from its own lines and from what
+// happened meanwhile.
+func cause(own, all []Line) string {
+	last := &own[len(own)-1]
+	if last.Event == "refused" {
+		return refused(last)
+	}
+	if last.Get("outcome") == "answered" {
+		return fmt.Sprintf("answered with %s after %s ms, by %s in %s attempts",
+			last.Get("status"), last.Get("took_ms"), last.Get("replica"), last.Get("attempts"))
+	}
+	text := ended(last)
+	if why := attempts(own); why != "" {
+		text += "; " + why
+	}
+	if why := meanwhile(all); why != "" {
+		text += "; " + why
+	}
+	return text
+}
+
+func refused(l *Line) string {
+	switch l.Get("reason") {
+	case "stale-configuration":
+		return fmt.Sprintf("not run: the configuration (version %s) was %s ms old, too old to trust a key: the gateway could not read the store",
+			l.Get("version"), l.Get("version_age_ms"))
+	case "no-configuration":
+		return "not run: the gateway had no configuration yet"
+	case "no-route":
+		return fmt.Sprintf("no route for %s%s in version %s", l.Get("host"), l.Get("path"), l.Get("version"))
+	case "unknown-key":
+		return "the key is in no account of version " + l.Get("version")
+	}
+	return fmt.Sprintf("refused with %s: %s", l.Get("status"), l.Get("reason"))
+}
+
+// ended tells the last word on a request that has no answer.
+func ended(l *Line) string {
+	switch l.Get("reason") {
+	case "busy":
+		return fmt.Sprintf("not run: no replica of %s had room within %s ms", l.Get("service"), l.Get("took_ms"))
+	case "no-replica":
+		return "not run: no replica of " + l.Get("service") + " is registered and not leaving"
+	case "stale-configuration":
+		return "given up before another attempt: the configuration had become too old to trust a key"
+	case "timeout":
+		return fmt.Sprintf("its time was over after %s ms", l.Get("took_ms"))
+	case "caller-gone":
+		return fmt.Sprintf("the caller left after %s ms", l.Get("took_ms"))
+	case "retry-budget":
+		return "not tried again: the retry budget was used up"
+	}
+	return fmt.Sprintf("ended as %s: %s", l.Get("outcome"), l.Get("reason"))
+}
+
+// attempts tells of the last attempt that failed.
+func attempts(own []Line) string {
+	for i := len(own) - 1; i >= 0; i-- {
+		l := &own[i]
+		if l.Event != "attempt" || l.Get("reason") == "" {
+			continue
+		}
+		return fmt.Sprintf("attempt %s at %s failed: %s, %s ms after arrival (%s own and %s other requests there, room %s, passes of %s ms, report %s ms old)",
+			l.Get("attempt"), l.Get("replica"), l.Get("reason"), l.Get("since_arrival_ms"), l.Get("own"), l.Get("others"),
+			l.Get("room"), l.Get("pass_ms"), l.Get("report_age_ms"))
+	}
+	return ""
+}
+
+// meanwhile names the first event that may have caused it.
+func meanwhile(all []Line) string {
+	for i := range all {
+		l := &all[i]
+		switch l.Event {
+		case "switch":
+			return fmt.Sprintf("meanwhile the group's switch to map %s was %s for %s ms", l.Get("map"), l.Get("former"), l.Get("former_took_ms"))
+		case "store lost":
+			return "meanwhile the store did not answer: " + l.Get("error")
+		case "replica gone", "replica lapsed":
+			return "meanwhile the record of " + l.Get("replica") + " vanished"
+		case "target":
+			if l.Get("lost") == "true" {
+				return "meanwhile the target beside " + l.Box + " did not answer"
+			}
+		case "started":
+			return "meanwhile the process on " + l.Box + " was started anew"
+		}
+	}
+	return ""
+}
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -216,3 +216,24 @@
 		t.Errorf("one of four gateways took %d of 8 places", n)
 	}
 }
+
+// TestClosedGroupGetsNothing waits while a group does not run, and goes on at
+// once when a report says that it does.
+func TestClosedGroupGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := with("a")
+		table.Report("a", fleet.Load{Closed: true, Taken: time.Now()})
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		callers.Go(func() {
+			time.Sleep(300 * time.Millisecond)
+			table.Report("a", fleet.Load{Taken: time.Now()})
+		})
+		asked := time.Now()
+		query := &fleet.Query{Service: engine, Now: asked, Asked: asked}
+		lease := table.Acquire(t.Context(), query, fleet.Waiting{Aim: asked.Add(time.Second), Last: asked.Add(time.Second)})
+		if lease == nil || time.Since(asked) != 300*time.Millisecond || lease.Inputs.Waited != 300*time.Millisecond {
+			t.Errorf("%+v after %v", lease, time.Since(asked))
+		}
+	})
+}
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -99,7 +99,7 @@
 	most := room(q.Service.Engine, q.Gap, g.pass, g.running)
 	own, all, usable := 0, 0, 0
 	for _, x := range list {
-		if !x.usable(q.Now) {
+		if !x.takes(q.Now) {
 			continue
 		}
 		usable++
@@ -115,7 +115,7 @@
 		each = (most + peers - 1) / peers
 	}
 	return t.best(q, func(x *target) bool {
-		return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < most
+		return x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < most
 	})
 }
 
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -47,6 +47,13 @@
 	latency time.Duration
 }
 
+// takes tells whether an engine may get requests now. One whose group does not
+// run would refuse them, which uses up the retry budget.
+func (t *target) takes(now time.Time) bool {
+	closed := t.load.Closed && now.Sub(t.load.Taken) < reportAge
+	return t.usable(now) && !closed
+}
+
 // reading returns the prompt tokens of own requests that have no first event.
 func (t *target) reading() graniteknot.Tokens {
 	var sum graniteknot.Tokens
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -15,11 +15,11 @@
 const (
 	// settingsWait is how long one read of the settings waits for a change. Each
 	// read proves that the tree is the newest, so it bounds the tree's age.
-	settingsWait = time.Second
-	// replicasPause is the time between two reads of the replicas' records,
-	// which change with every heartbeat. It is a third of the time after which a
-	// leaving replica must get no more requests.
-	replicasPause = 600 * time.Millisecond
+	settingsWait = 1500 * time.Millisecond
+	// replicasShare is the time between two reads of the replicas' records, which
+	// change with every heartbeat, as a part of the time after which a leaving
+	// replica must get no more requests.
+	replicasShare = 0.45
 	// doubtTime is how long after an outage of the store a vanished record is
 	// not taken for the replica's end.
 	doubtTime = 2500 * time.Millisecond
@@ -68,7 +68,7 @@
 
 func (g *Gateway) followReplicas(ctx context.Context) {
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: replicasPause,
+		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
 		Newest: g.resetReplicas, Next: g.takeReplicas,
 	}
 	f.Run(ctx)
--- a/internal/core/gateway/rig_test.go
+++ b/internal/core/gateway/rig_test.go
@@ -44,7 +44,7 @@
 		Role: directconf.RoleGateway, Box: graniteknot.BoxName(ip), Zone: "z",
 		Requests: graniteknot.Address(ip + ":18001"), Readiness: graniteknot.Address(ip + ":18002"),
 		Directory: graniteknot.Address(ip + ":18003"), Peers: graniteknot.Address(ip + ":18004"),
-		KeyAge: 3 * time.Second, Stop: 10 * time.Second, AnswerLife: 5 * time.Second,
+		KeyAge: 5 * time.Second, Drain: 2 * time.Second, Stop: 10 * time.Second, AnswerLife: 5 * time.Second,
 		RetryPercent: 20, RetryExtra: 90, RetryWindow: 10 * time.Second,
 	}
 	if change != nil {
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -26,6 +26,9 @@
 	// left a skew of 1.57 with 640 experts loaded, 0.08 one of 1.60 with 390, 0.15
 	// one of 1.69 with 210; 0.002 one of 1.57 with 1,020.
 	moveThreshold = 0.06
+	// claimTurn is how much later than the rank before it a rank claims: what a
+	// claim and the first look of a keeper take.
+	claimTurn = 40 * time.Millisecond
 	// reportAge is how old the own rank's report may be.
 	reportAge = time.Second
 )
@@ -77,8 +80,13 @@
 		return
 	}
 	members, whole := s.find(ctx, report)
-	if !whole || !s.due(report.Rank, opened, time.Now()) {
-		// Another sidecar may have become the keeper meanwhile.
+	if !whole {
+		return
+	}
+	// All others found the ranks at the same moment, when the last one answered.
+	sleep(ctx, time.Duration(report.Rank)*claimTurn)
+	if !s.due(report.Rank, opened, time.Now()) {
+		// Another sidecar has become the keeper meanwhile.
 		return
 	}
 	value, err := json.Marshal(claim{Box: s.Config.Box, Born: s.Born})
