--- a/catalog/route.go
+++ b/catalog/route.go
@@ -64,6 +64,16 @@
 	return r.Kind == KindRepeatable || r.Kind == KindStream && r.Resumable
 }
 
+// sends tells whether a service gets some of the route's requests.
+func (r *Route) sends(s graniteknot.Service) bool {
+	for _, share := range r.Shares {
+		if share.Service == s {
+			return true
+		}
+	}
+	return false
+}
+
 // Pick returns the service for a number that is evenly spread over uint64.
 func (r *Route) Pick(random uint64) graniteknot.Service {
 	sum := 0
--- a/catalog/tree.go
+++ b/catalog/tree.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	graniteknot "graniteknot.org/go"
 )
@@ -107,6 +108,20 @@
 // Account finds the account that a key proves; nil when there is none.
 func (t *Tree) Account(key Secret) *Account { return t.accounts[key] }
 
+// Gap returns the shortest of the longest useful pauses between events that the
+// routes to a service name; 0 when none does.
+func (t *Tree) Gap(s graniteknot.Service) time.Duration {
+	var least time.Duration
+	for _, list := range t.routes {
+		for _, r := range list {
+			if r.GapAim > 0 && r.sends(s) && (least == 0 || r.GapAim < least) {
+				least = r.GapAim
+			}
+		}
+	}
+	return least
+}
+
 // RouteCount returns how many routes the tree has, for logs.
 func (t *Tree) RouteCount() int {
 	n := 0
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -60,7 +60,9 @@
 	// Home is the keeper's own rank, which holds.
 	Home graniteknot.Rank
 	// Engine has experts.
-	Engine  *catalog.Engine
+	Engine *catalog.Engine
+	// Gap is the longest useful pause between events; 0 is unknown.
+	Gap     time.Duration
 	Planner *planner.Planner
 	// Members are all ranks, in order.
 	Members []*Member
@@ -307,6 +309,7 @@
 		return
 	}
 	k.Planner.Observe(loads)
+	k.Planner.Threshold = threshold(k.pace.pass, k.Gap)
 	next := k.Planner.PlanNext(k.placement, planner.Room{PerLayer: k.Engine.Experts.Spare, PerRank: roomPerRank})
 	if next.Moves == 0 {
 		return
--- /dev/null
+++ b/internal/core/ranks/threshold.go
@@ -0,0 +1,28 @@
+package ranks
+
+import "time"
+
+// What one loaded expert has to gain in skew, summed over the sets, to be worth
+// loading. Skew only costs callers something when passes come near the longest
+// useful pause between events, so little is moved while they are short. On days
+// of both sites, thresholds of 0.06, 0.10 and 0.16 were worth 0.870, 0.881, 0.889
+// and 0.910, 0.924, 0.936 when quiet, and 0.626, 0.687, 0.637 and 0.731, 0.739,
+// 0.663 at full load.
+const (
+	idleThreshold = 0.16
+	busyThreshold = 0.09
+	// idleShare and busyShare are the parts of the pause that passes take below
+	// and above which the thresholds are these; between them it is in between.
+	idleShare = 0.35
+	busyShare = 0.60
+)
+
+// threshold returns what one loaded expert has to gain, for how long passes take.
+func threshold(pass, gap time.Duration) float64 {
+	if pass <= 0 || gap <= 0 {
+		return busyThreshold
+	}
+	share := float64(pass) / float64(gap)
+	at := min(max((share-idleShare)/(busyShare-idleShare), 0), 1)
+	return idleThreshold + at*(busyThreshold-idleThreshold)
+}
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -21,11 +21,6 @@
 	// ranks every 60 ms, or every 250 ms while the group does not run.
 	keeperSilence = 500 * time.Millisecond
 	keeperTurn    = 150 * time.Millisecond
-	// moveThreshold is the gain in skew, summed over the sets, that one loaded
-	// expert has to give. In replays of counts of two days a threshold of 0.04
-	// left a skew of 1.57 with 640 experts loaded, 0.08 one of 1.60 with 390, 0.15
-	// one of 1.69 with 210; 0.002 one of 1.57 with 1,020.
-	moveThreshold = 0.06
 	// claimTurn is how much later than the rank before it a rank claims: what a
 	// claim and the first look of a keeper take.
 	claimTurn = 40 * time.Millisecond
@@ -75,7 +70,7 @@
 
 // claimAndKeep is the keeper until another one is heard of.
 func (s *Sidecar) claimAndKeep(ctx context.Context, report *ranks.Report, opened time.Time) {
-	engine := s.engine(ctx)
+	engine, gap := s.engine(ctx)
 	if engine == nil {
 		return
 	}
@@ -104,21 +99,21 @@
 	}
 	k := ranks.NewKeeper(ranks.Parts{
 		// Positions begin at 0, fences at 1.
-		Fence: at + 1, Home: report.Rank, Engine: engine, Log: s.Log, Meter: s.Meter, Members: members,
-		Planner: &planner.Planner{Shape: shape, Threshold: moveThreshold, Smoothing: 1},
+		Fence: at + 1, Home: report.Rank, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: members,
+		Planner: &planner.Planner{Shape: shape, Smoothing: 1},
 	})
 	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
 	fenced := k.Run(ctx)
 	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int64("other", int64(fenced)))
 }
 
-// engine reads the own service's engine from the settings; nil when it can't be
-// read now, or has no experts.
-func (s *Sidecar) engine(ctx context.Context) *catalog.Engine {
+// engine reads the own service's engine and the longest useful pause from the
+// settings; nil when they can't be read now, or the engine has no experts.
+func (s *Sidecar) engine(ctx context.Context) (*catalog.Engine, time.Duration) {
 	page, err := s.Store.Newest(ctx, graniteknot.TopicSettings)
 	if err != nil {
 		s.Log.Warn("read settings", slog.String("error", err.Error()))
-		return nil
+		return nil, 0
 	}
 	for _, r := range page.Records {
 		tree, err := s.Translator.Tree(r)
@@ -131,10 +126,10 @@
 		}
 		service := tree.Service(s.Config.TargetService)
 		if service != nil && service.Engine != nil && service.Engine.Experts != nil {
-			return service.Engine
+			return service.Engine, tree.Gap(service.Name)
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // find asks all sidecars which rank is theirs; false unless all ranks of the
