--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -41,11 +41,12 @@
 func (t *Table) best(q *Query, may func(*target) bool) *target {
 	var best *target
 	least := 0.0
+	g := t.load(t.services[q.Service.Name], q.Now)
 	for _, x := range t.services[q.Service.Name] {
 		if !may(x) {
 			continue
 		}
-		cost := x.cost(q) + jitter()
+		cost := x.cost(q, g) + jitter()
 		if best == nil || cost < least {
 			best, least = x, cost
 		}
@@ -79,10 +80,10 @@
 }
 
 // cost orders replicas for a request; the least is chosen.
-func (t *target) cost(q *Query) float64 {
+func (t *target) cost(q *Query, g groupLoad) float64 {
 	busy := float64(len(t.own) + t.others(q.Now))
 	if q.Service.Engine != nil {
-		return busy + float64(t.reading())/float64(max(1, q.Service.Engine.Chunk))
+		return (busy + 1 + float64(t.reading())/float64(max(1, q.Service.Engine.Chunk))) * t.slower(g, q.Now)
 	}
 	zone := 0.0
 	if t.replica.Zone != q.Zone {
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -97,25 +98,26 @@
 func (t *Table) roomy(q *Query, list []*target) *target {
 	g := t.load(list, q.Now)
 	most := room(q.Service.Engine, q.Gap, g.pass, g.running)
-	own, all, usable := 0, 0, 0
+	own, all, usable := 0, 0, 0.0
 	for _, x := range list {
 		if !x.takes(q.Now) {
 			continue
 		}
-		usable++
+		usable += 1 / x.slower(g, q.Now)
 		own += len(x.own)
 		all += len(x.own) + x.others(q.Now)
 	}
 	each := most
-	if float64(all) >= crowded*float64(most*usable) {
+	if float64(all) >= crowded*float64(most)*usable {
 		peers := max(1, t.peers)
-		if own >= (most*usable+peers-1)/peers {
+		if float64(own) >= math.Ceil(float64(most)*usable/float64(peers)) {
 			return nil
 		}
 		each = (most + peers - 1) / peers
 	}
 	return t.best(q, func(x *target) bool {
-		return x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < most
+		own := int(float64(most) / x.slower(g, q.Now))
+		return x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < own
 	})
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -20,9 +20,11 @@
 )
 
 const (
-	// keyMargin is taken from the age that a configuration may have, for the
-	// way of a request to its replica.
-	keyMargin = 400 * time.Millisecond
+	// keyMargin is taken from the age that a configuration may have, for clocks
+	// that run a little apart. Nothing more is needed: the age counts from the
+	// start of the read that proved the configuration, and a key that was taken
+	// away since was taken away after that.
+	keyMargin = 100 * time.Millisecond
 	// spareGateways is how many more gateways may come than are known, before
 	// the connections and retries of all are divided anew.
 	spareGateways = 3
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -62,7 +62,9 @@
 	// Engine has experts.
 	Engine *catalog.Engine
 	// Gap is the longest useful pause between events; 0 is unknown.
-	Gap     time.Duration
+	Gap time.Duration
+	// Planner has a threshold of its own or, if that is 0, gets one that follows
+	// how long passes take.
 	Planner *planner.Planner
 	// Members are all ranks, in order.
 	Members []*Member
@@ -87,6 +89,8 @@
 	prepared []time.Time
 	window   window
 	pace     pace
+	// fixed tells that the planner's threshold was set from outside.
+	fixed bool
 	// phase is the last decision's; since is when it began.
 	phase   held.Phase
 	since   time.Time
@@ -96,7 +100,7 @@
 // NewKeeper returns a keeper that does nothing until Run.
 func NewKeeper(p Parts) *Keeper {
 	return &Keeper{
-		Parts: p, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
+		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
 	}
 }
 
@@ -309,7 +313,9 @@
 		return
 	}
 	k.Planner.Observe(loads)
-	k.Planner.Threshold = threshold(k.pace.pass, k.Gap)
+	if !k.fixed {
+		k.Planner.Threshold = threshold(k.pace.pass, k.Gap)
+	}
 	next := k.Planner.PlanNext(k.placement, planner.Room{PerLayer: k.Engine.Experts.Spare, PerRank: roomPerRank})
 	if next.Moves == 0 {
 		return
