--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -220,3 +220,38 @@
 		table.Finish(r.ID, graniteknot.OutcomeAnswered)
 	}
 }
+
+// TestRememberedAsLongAsTaken: what ran is remembered for as long as a copy of
+// the message would still be taken, which the deadline and a key from ahead of
+// the clock may put off beyond the window.
+func TestRememberedAsLongAsTaken(t *testing.T) {
+	old := after(time.Hour)
+	cases := map[string]struct {
+		r    claim.Request
+		last time.Time
+	}{
+		"deadline beyond the window": {claim.Request{Until: old.Add(40 * time.Minute)}, old.Add(40 * time.Minute)},
+		"key from ahead of the clock": {
+			claim.Request{KeyTime: old.Add(29 * time.Second)}, old.Add(claim.DefaultWindow + 28*time.Second),
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTable()
+			table.Skew, table.Future = time.Millisecond, 30*time.Second
+			c.r.ID = id("k")
+			if got := table.Admit(old, c.r); got != claim.VerdictStart {
+				t.Fatalf("first: %s", got)
+			}
+			table.Start(c.r.ID, 0)
+			table.Finish(c.r.ID, graniteknot.OutcomeAnswered)
+			for now := old.Add(time.Second); now.Before(c.last); now = now.Add(200 * time.Millisecond) {
+				// Others' requests have the table forget what it may.
+				table.Admit(now, claim.Request{ID: id("other"), Repeatable: true})
+			}
+			if got := table.Admit(c.last, c.r); got != claim.VerdictAnswered {
+				t.Errorf("a copy at the last moment: %s", got)
+			}
+		})
+	}
+}
--- a/claim/ways_bench_test.go
+++ b/claim/ways_bench_test.go
@@ -12,7 +12,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/claim"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 	"graniteknot.org/go/internal/standin/logstore"
 )
 
--- a/cmd/graniteknot/cmd/direct.go
+++ b/cmd/graniteknot/cmd/direct.go
@@ -11,10 +11,10 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/directapp"
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
-	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/platform"
 )
 
@@ -51,7 +51,7 @@
 	}
 	p, err := directapp.New(directapp.Parts{
 		Config: config, Store: platform.NewStore(config.Store), Translator: platform.Dialect{},
-		Rank:  func(a graniteknot.Address) ranks.Rank { return platform.NewRank(a) },
+		Rank:  func(a graniteknot.Address) held.Rank { return platform.NewRank(a) },
 		Lines: eventlog.NewWriter(c.out),
 	})
 	if err != nil {
--- a/cmd/graniteknot/cmd/process.go
+++ b/cmd/graniteknot/cmd/process.go
@@ -11,8 +11,8 @@
 	"k8s.io/klog/v2"
 
 	"graniteknot.org/go/internal/core/app"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/procconf"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/member"
 )
 
--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -13,7 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"k8s.io/klog/v2"
 
-	"graniteknot.org/go/internal/core/inifile"
+	"graniteknot.org/go/internal/inifile"
 	"graniteknot.org/go/settings"
 )
 
--- a/cmd/graniteknot/cmd/settings_publish.go
+++ b/cmd/graniteknot/cmd/settings_publish.go
@@ -16,7 +16,7 @@
 	"graniteknot.org/go/internal/core/inspect"
 	"graniteknot.org/go/internal/core/link"
 	"graniteknot.org/go/internal/core/publish"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 	"graniteknot.org/go/internal/wire"
 )
 
--- a/cmd/graniteknot/cmd/settings_show.go
+++ b/cmd/graniteknot/cmd/settings_show.go
@@ -10,7 +10,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/fold"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 	"graniteknot.org/go/settings"
 )
 
--- a/cmd/graniteknot/cmd/standin.go
+++ b/cmd/graniteknot/cmd/standin.go
@@ -12,7 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/boxes"
 	"graniteknot.org/go/internal/standin/engine"
 	"graniteknot.org/go/internal/standin/logstore"
--- a/internal/core/ranks/rank.go
+++ b/expertmap/held/rank.go
@@ -1,10 +1,9 @@
-package ranks
+package held
 
 import (
 	"context"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/planner"
 )
 
@@ -17,7 +16,7 @@
 	Group GroupName
 	Rank  graniteknot.Rank
 	Size  int
-	State held.State
+	State State
 	// Running and Waiting count requests, Tokens what their contexts hold.
 	Running, Waiting int
 	Tokens           graniteknot.Tokens
@@ -27,7 +26,7 @@
 
 // Command is an order with what carries it.
 type Command struct {
-	held.Order
+	Order
 	// Fence is the keeper's.
 	Fence graniteknot.Position
 	// Placement is set for KindPrepare.
--- a/internal/core/app/app.go
+++ b/internal/core/app/app.go
@@ -15,8 +15,8 @@
 	"graniteknot.org/go/internal/core/link"
 	"graniteknot.org/go/internal/core/node"
 	"graniteknot.org/go/internal/core/procconf"
-	"graniteknot.org/go/internal/core/services"
-	"graniteknot.org/go/internal/core/target"
+	"graniteknot.org/go/internal/services"
+	"graniteknot.org/go/internal/target"
 	"graniteknot.org/go/member"
 )
 
--- a/internal/core/conns/conn.go
+++ b/internal/core/conns/conn.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
--- a/internal/core/dev/cluster.go
+++ b/internal/core/dev/cluster.go
@@ -10,8 +10,8 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/app"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/procconf"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/boxes"
 	"graniteknot.org/go/internal/standin/engine"
 	"graniteknot.org/go/internal/standin/logstore"
--- a/internal/core/dev/cluster_test.go
+++ b/internal/core/dev/cluster_test.go
@@ -12,7 +12,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/dev"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/logstore"
 )
 
--- a/internal/core/dev/day.go
+++ b/internal/core/dev/day.go
@@ -8,10 +8,10 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/app"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/load"
 	"graniteknot.org/go/internal/core/mapkeeper"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/ranks"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/settings"
--- a/internal/core/dev/day_test.go
+++ b/internal/core/dev/day_test.go
@@ -10,9 +10,9 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/app"
 	"graniteknot.org/go/internal/core/dev"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/load"
 	"graniteknot.org/go/internal/core/ticket"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/logstore"
 )
 
--- a/internal/core/dev/settings.go
+++ b/internal/core/dev/settings.go
@@ -11,7 +11,7 @@
 	"graniteknot.org/go/fold"
 	"graniteknot.org/go/internal/core/app"
 	"graniteknot.org/go/internal/core/publish"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 	"graniteknot.org/go/internal/standin/engine"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/settings"
--- a/internal/core/directapp/app.go
+++ b/internal/core/directapp/app.go
@@ -9,11 +9,11 @@
 	"go.uber.org/fx"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/gateway"
 	"graniteknot.org/go/internal/core/meter"
-	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/internal/core/sidecar"
 )
 
@@ -31,7 +31,7 @@
 	Store      graniteknot.KeyedStore
 	Translator gateway.Translator
 	// Rank reaches the replica at an address; sidecars need it.
-	Rank  func(graniteknot.Address) ranks.Rank
+	Rank  func(graniteknot.Address) held.Rank
 	Lines *eventlog.Writer
 }
 
--- a/internal/core/directconf/config.go
+++ b/internal/core/directconf/config.go
@@ -6,7 +6,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/inifile"
+	"graniteknot.org/go/internal/inifile"
 )
 
 // Role is what a process does.
--- a/internal/core/directconf/parser.go
+++ b/internal/core/directconf/parser.go
@@ -4,7 +4,7 @@
 	"strings"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/inifile"
+	"graniteknot.org/go/internal/inifile"
 )
 
 // parser collects a config and its faults.
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -12,8 +12,8 @@
 	"graniteknot.org/go/internal/core/node"
 	"graniteknot.org/go/internal/core/relay"
 	"graniteknot.org/go/internal/core/retry"
-	"graniteknot.org/go/internal/core/stream"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/stream"
 	"graniteknot.org/go/limit"
 	"graniteknot.org/go/settings"
 )
--- a/internal/core/eventlog/writer.go
+++ b/internal/core/eventlog/writer.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -13,10 +13,10 @@
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/forward"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
--- a/internal/core/gateway/servers.go
+++ b/internal/core/gateway/servers.go
@@ -10,7 +10,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
--- a/internal/core/inspect/inspect.go
+++ b/internal/core/inspect/inspect.go
@@ -9,9 +9,9 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/link"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
 
--- a/internal/core/load/workload.go
+++ b/internal/core/load/workload.go
@@ -10,7 +10,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/engine"
 	"graniteknot.org/go/internal/standin/plain"
 )
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -8,11 +8,11 @@
 	"k8s.io/klog/v2"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/link"
 	"graniteknot.org/go/internal/core/procconf"
 	"graniteknot.org/go/internal/core/spread"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/member"
 )
--- a/internal/core/node/server.go
+++ b/internal/core/node/server.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
 
--- a/internal/core/presence/socket.go
+++ b/internal/core/presence/socket.go
@@ -9,7 +9,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/eventlog"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 )
 
 // largest is the largest datagram that is read.
--- a/internal/core/procconf/config.go
+++ b/internal/core/procconf/config.go
@@ -14,7 +14,7 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/claim"
 	"graniteknot.org/go/fold"
-	"graniteknot.org/go/internal/core/inifile"
+	"graniteknot.org/go/internal/inifile"
 	"graniteknot.org/go/member"
 )
 
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -26,7 +26,7 @@
 // Doer reads its rank and gives it orders for the keeper. Set the exported
 // fields. It implements wire.Ranks.
 type Doer struct {
-	Rank Rank
+	Rank held.Rank
 	// Target is the rank's address, for keepers that have to go around a
 	// sidecar.
 	Target graniteknot.Address
@@ -93,14 +93,14 @@
 // Give implements wire.Ranks.
 func (d *Doer) Give(ctx context.Context, r *wire.GiveRequest) (*wire.GiveReply, error) {
 	if higher := d.admit(graniteknot.Position(r.GetFence())); higher != 0 {
-		return &wire.GiveReply{Result: int32(ResultFenced), Fenced: int64(higher)}, nil
+		return &wire.GiveReply{Result: int32(held.ResultFenced), Fenced: int64(higher)}, nil
 	}
 	c := commandOf(r)
 	result := d.give(ctx, c)
 	return &wire.GiveReply{Result: int32(result)}, nil
 }
 
-func (d *Doer) give(ctx context.Context, c *Command) Result {
+func (d *Doer) give(ctx context.Context, c *held.Command) held.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	began := time.Now()
@@ -122,13 +122,13 @@
 }
 
 // try gives an order until it is answered or the time is over.
-func (d *Doer) try(ctx context.Context, c *Command) (result Result, tries int, err error) {
+func (d *Doer) try(ctx context.Context, c *held.Command) (result held.Result, tries int, err error) {
 	for {
 		tries++
 		short, cancel := context.WithTimeout(ctx, tryTime)
 		result, err = d.Rank.Order(short, c)
 		cancel()
-		if result != ResultLost || ctx.Err() != nil {
+		if result != held.ResultLost || ctx.Err() != nil {
 			return result, tries, err
 		}
 	}
@@ -170,8 +170,8 @@
 	return out
 }
 
-func commandOf(r *wire.GiveRequest) *Command {
-	c := &Command{
+func commandOf(r *wire.GiveRequest) *held.Command {
+	c := &held.Command{
 		Order: held.Order{
 			Kind: held.Kind(r.GetKind()), Version: held.Version(r.GetVersion()), Step: graniteknot.Step(r.GetStep()),
 			Epoch: held.Epoch(r.GetEpoch()),
@@ -206,7 +206,7 @@
 }
 
 // commandToWire is the inverse of commandOf.
-func commandToWire(c *Command) *wire.GiveRequest {
+func commandToWire(c *held.Command) *wire.GiveRequest {
 	r := &wire.GiveRequest{
 		Fence: int64(c.Fence), Kind: int32(c.Kind), Version: int64(c.Version), Step: uint64(c.Step), Epoch: int64(c.Epoch),
 	}
--- a/internal/core/ranks/find.go
+++ b/internal/core/ranks/find.go
@@ -7,7 +7,8 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 // Find asks sidecars which rank is theirs, and ranks whose sidecars do not
 // answer which they are. It returns the members of the group by rank; false
 // unless there is one for each.
-func Find(ctx context.Context, name GroupName, size int, places []Place, reach func(graniteknot.Address) Rank) ([]*Member, bool) {
+func Find(ctx context.Context, name held.GroupName, size int, places []Place, reach func(graniteknot.Address) held.Rank) ([]*Member, bool) {
 	if size <= 0 {
 		return nil, false
 	}
@@ -54,12 +55,12 @@
 }
 
 // ask finds out which rank of the group is at a place.
-func ask(ctx context.Context, name GroupName, doer wire.Ranks, direct Rank) (graniteknot.Rank, bool) {
+func ask(ctx context.Context, name held.GroupName, doer wire.Ranks, direct held.Rank) (graniteknot.Rank, bool) {
 	short, cancel := context.WithTimeout(ctx, findTime)
 	defer cancel()
 	reply, err := doer.Look(short, &wire.LookRequest{})
 	if err == nil {
-		return graniteknot.Rank(reply.GetRank()), GroupName(reply.GetGroup()) == name
+		return graniteknot.Rank(reply.GetRank()), held.GroupName(reply.GetGroup()) == name
 	}
 	long, stop := context.WithTimeout(ctx, reachTime)
 	defer stop()
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -333,7 +333,7 @@
 	}
 	w := newWaiter(len(orders))
 	for _, o := range orders {
-		c := &Command{Order: o, Fence: k.Fence}
+		c := &held.Command{Order: o, Fence: k.Fence}
 		if o.Kind == held.KindPrepare {
 			if now.Sub(k.prepared[o.Rank]) < k.loading()+prepareAgain {
 				w.done()
--- a/internal/core/ranks/keeper_test.go
+++ b/internal/core/ranks/keeper_test.go
@@ -9,8 +9,8 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/obeying"
 	"graniteknot.org/go/planner"
 )
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -7,7 +7,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/expertmap/held"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -34,7 +34,7 @@
 	// doer is the sidecar's calls.
 	doer wire.Ranks
 	// direct is the rank itself, from afar; nil for none.
-	direct Rank
+	direct held.Rank
 	calls  group.Group
 
 	mu sync.Mutex
@@ -72,7 +72,7 @@
 
 // NewMember returns a rank that is reached through its sidecar's calls and, when
 // the sidecar is silent, from afar; direct may be nil.
-func NewMember(r graniteknot.Rank, doer wire.Ranks, direct Rank) *Member {
+func NewMember(r graniteknot.Rank, doer wire.Ranks, direct held.Rank) *Member {
 	return &Member{rank: r, doer: doer, direct: direct, under: map[call]underWay{}}
 }
 
@@ -185,7 +185,7 @@
 }
 
 // give begins to give an order, and calls done when that has ended.
-func (m *Member) give(c *Command, now time.Time, done func()) {
+func (m *Member) give(c *held.Command, now time.Time, done func()) {
 	key := call{order: c.Order}
 	if !m.begin(key, now) {
 		return
@@ -199,40 +199,40 @@
 	})
 }
 
-func (m *Member) order(ctx context.Context, c *Command, now time.Time) Result {
+func (m *Member) order(ctx context.Context, c *held.Command, now time.Time) held.Result {
 	if m.silent(now) {
 		result, err := m.direct.Order(ctx, c)
 		if err != nil {
-			return ResultLost
+			return held.ResultLost
 		}
 		return result
 	}
 	reply, err := m.doer.Give(ctx, commandToWire(c))
 	if err != nil {
-		return ResultLost
+		return held.ResultLost
 	}
-	return Result(reply.GetResult())
+	return held.Result(reply.GetResult())
 }
 
 // note takes in what became of an order.
-func (m *Member) note(r Result, c *Command) {
+func (m *Member) note(r held.Result, c *held.Command) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch r {
-	case ResultFenced:
+	case held.ResultFenced:
 		m.fenced = max(m.fenced, c.Fence+1)
-	case ResultConflict:
+	case held.ResultConflict:
 		m.answered = true
-	case ResultDone:
+	case held.ResultDone:
 		m.answered = true
 		m.carriedOut(c)
-	case ResultLost:
+	case held.ResultLost:
 	}
 }
 
 // carriedOut takes in that the rank has done an order: its word is as good as a
 // look, and comes at once. Looks that began before it are not kept.
-func (m *Member) carriedOut(c *Command) {
+func (m *Member) carriedOut(c *held.Command) {
 	s := &m.last.state
 	if s.Epoch != c.Epoch || m.lookedAt.IsZero() {
 		return
--- a/internal/core/relay/attempt.go
+++ b/internal/core/relay/attempt.go
@@ -7,8 +7,8 @@
 	"net/http"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/stream"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/stream"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/route"
 )
--- a/internal/core/relay/history_test.go
+++ b/internal/core/relay/history_test.go
@@ -14,8 +14,8 @@
 	"graniteknot.org/go/claim"
 	"graniteknot.org/go/internal/core/relay"
 	"graniteknot.org/go/internal/core/retry"
-	"graniteknot.org/go/internal/core/stream"
 	"graniteknot.org/go/internal/core/ticket"
+	"graniteknot.org/go/internal/stream"
 	"graniteknot.org/go/route"
 	"graniteknot.org/go/settings"
 )
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -8,6 +8,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/planner"
@@ -69,7 +70,7 @@
 }
 
 // claimAndKeep is the keeper until another one is heard of.
-func (s *Sidecar) claimAndKeep(ctx context.Context, report *ranks.Report, opened time.Time) {
+func (s *Sidecar) claimAndKeep(ctx context.Context, report *held.Report, opened time.Time) {
 	engine, gap := s.engine(ctx)
 	if engine == nil {
 		return
@@ -134,7 +135,7 @@
 
 // find asks all sidecars which rank is theirs; false unless all ranks of the
 // group are found.
-func (s *Sidecar) find(ctx context.Context, report *ranks.Report) ([]*ranks.Member, bool) {
+func (s *Sidecar) find(ctx context.Context, report *held.Report) ([]*ranks.Member, bool) {
 	places := []ranks.Place{{Sidecar: s.Config.Peers, Target: s.Config.Target}}
 	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
 		places = append(places, ranks.Place{Sidecar: m.Peers, Target: m.Target})
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -10,13 +10,14 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/directconf"
 	"graniteknot.org/go/internal/core/eventlog"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -42,7 +43,7 @@
 	Store      graniteknot.KeyedStore
 	Translator Translator
 	// Rank reaches the replica at an address.
-	Rank func(graniteknot.Address) ranks.Rank
+	Rank func(graniteknot.Address) held.Rank
 	Log  *eventlog.Log
 	// Lines is the log's writer; nil when nothing counts what it drops.
 	Lines *eventlog.Writer
@@ -56,7 +57,7 @@
 	Members presence.View
 	Health  watch.Health
 
-	own    ranks.Rank
+	own    held.Rank
 	doer   *ranks.Doer
 	socket *presence.Socket
 	server *http.Server
@@ -66,7 +67,7 @@
 
 	mu sync.Mutex
 	// report is the last one of the own rank, read when.
-	report ranks.Report
+	report held.Report
 	read   time.Time
 	// pass knows how long a pass takes; only digests uses it.
 	pass passClock
@@ -163,7 +164,7 @@
 	}
 }
 
-func (s *Sidecar) tell(r *ranks.Report) {
+func (s *Sidecar) tell(r *held.Report) {
 	s.mu.Lock()
 	s.report, s.read = *r, time.Now()
 	s.mu.Unlock()
@@ -178,7 +179,7 @@
 }
 
 // last returns the last report and its age.
-func (s *Sidecar) last(now time.Time) (ranks.Report, time.Duration) {
+func (s *Sidecar) last(now time.Time) (held.Report, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.report, now.Sub(s.read)
--- a/internal/core/watch/follower_test.go
+++ b/internal/core/watch/follower_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
 	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/keyed"
 )
 
--- a/internal/standin/boxes/list.go
+++ b/internal/standin/boxes/list.go
@@ -10,7 +10,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 )
 
 // List is the list. The zero value is empty and shows changes at once.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,7 +9,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 )
 
 // Config is the shape of an engine. Zero fields take the defaults.
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -10,7 +10,7 @@
 	"github.com/gorilla/mux"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/target"
+	"graniteknot.org/go/internal/target"
 )
 
 const (
--- a/internal/standin/logstore/handler.go
+++ b/internal/standin/logstore/handler.go
@@ -9,7 +9,7 @@
 	"github.com/gorilla/mux"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/services"
+	"graniteknot.org/go/internal/services"
 )
 
 // FaultsPath switches faults, with a JSON form of Faults.
--- a/internal/standin/obeying/group.go
+++ b/internal/standin/obeying/group.go
@@ -13,8 +13,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/expertmap/held"
-	"graniteknot.org/go/internal/core/group"
-	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/planner"
 )
 
@@ -42,7 +41,7 @@
 	wait           group.Group
 }
 
-// Rank is one rank; it implements ranks.Rank.
+// Rank is one rank; it implements held.Rank.
 type Rank struct {
 	group  *Group
 	number graniteknot.Rank
@@ -192,32 +191,32 @@
 
 var errDeaf = errors.New("no answer")
 
-// Report implements ranks.Rank.
-func (r *Rank) Report(context.Context) (ranks.Report, error) {
+// Report implements held.Rank.
+func (r *Rank) Report(context.Context) (held.Report, error) {
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	if r.deaf {
-		return ranks.Report{}, errDeaf
+		return held.Report{}, errDeaf
 	}
-	return ranks.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Pace: 1}, nil
+	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Pace: 1}, nil
 }
 
-// Counts implements ranks.Rank.
+// Counts implements held.Rank.
 func (r *Rank) Counts(context.Context) ([]uint64, error) {
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	return append([]uint64(nil), r.counts...), nil
 }
 
-// Lists implements ranks.Rank.
+// Lists implements held.Rank.
 func (r *Rank) Lists(context.Context) ([][]graniteknot.Expert, error) {
 	r.group.mu.Lock()
 	defer r.group.mu.Unlock()
 	return r.now, nil
 }
 
-// Order implements ranks.Rank.
-func (r *Rank) Order(ctx context.Context, c *ranks.Command) (ranks.Result, error) {
+// Order implements held.Rank.
+func (r *Rank) Order(ctx context.Context, c *held.Command) (held.Result, error) {
 	g := r.group
 	g.mu.Lock()
 	deaf := r.deaf
@@ -229,7 +228,7 @@
 	g.mu.Unlock()
 	if deaf {
 		<-ctx.Done()
-		return ranks.ResultLost, errDeaf
+		return held.ResultLost, errDeaf
 	}
 	if late {
 		g.wait.Go(func(context.Context) {
@@ -237,21 +236,21 @@
 			_, _ = r.obey(c)
 		})
 		<-ctx.Done()
-		return ranks.ResultLost, fmt.Errorf("order: %w", ctx.Err())
+		return held.ResultLost, fmt.Errorf("order: %w", ctx.Err())
 	}
 	return r.obey(c)
 }
 
-func (r *Rank) obey(c *ranks.Command) (ranks.Result, error) {
+func (r *Rank) obey(c *held.Command) (held.Result, error) {
 	g := r.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.Fence < r.fence {
-		return ranks.ResultFenced, nil
+		return held.ResultFenced, nil
 	}
 	r.fence = c.Fence
 	if c.Epoch != r.state.Epoch {
-		return ranks.ResultConflict, nil
+		return held.ResultConflict, nil
 	}
 	s := &r.state
 	switch {
@@ -266,13 +265,13 @@
 			s.Held = held.Never
 		}
 	default:
-		return ranks.ResultConflict, nil
+		return held.ResultConflict, nil
 	}
-	return ranks.ResultDone, nil
+	return held.ResultDone, nil
 }
 
 // prepare loads what is new; called with the lock held.
-func (r *Rank) prepare(c *ranks.Command) {
+func (r *Rank) prepare(c *held.Command) {
 	r.highest = c.Version
 	r.state.Prepared = 0
 	next := lists(c.Placement, r.number)
--- a/internal/standin/ranks/group.go
+++ b/internal/standin/ranks/group.go
@@ -14,7 +14,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/expertmap"
-	"graniteknot.org/go/internal/core/group"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/planner"
 )
 
--- a/settings/patch.go
+++ b/settings/patch.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/inifile"
+	"graniteknot.org/go/internal/inifile"
 )
 
 // Patch is the checked text of one change. Each section it holds replaces the
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/core/cow"
+	"graniteknot.org/go/internal/cow"
 )
 
 // Tree is one immutable version of the settings. The zero value is the empty
