Old calls tell nothing of the store; a new engine waits for its first report

Health ignores calls that began before the store last answered; an engine gets nothing until its sidecar's first report, or for a second.

--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -12,6 +12,9 @@
 const (
 	// reportAge is how old a report may be to count.
 	reportAge = 1500 * time.Millisecond
+	// firstReport is how long a new engine waits for its sidecar's first report
+	// before it is taken to have none.
+	firstReport = time.Second
 	// firstPause is how long a replica is left alone after a failure; it
 	// doubles with each failure in a row, up to longestPause.
 	firstPause   = 250 * time.Millisecond
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -49,7 +49,11 @@
 
 // takes tells whether an engine may get requests now. One whose group does not
 // run would refuse them, which uses up the retry budget.
+// Neither may a new one whose sidecar has not told yet whether it does.
 func (t *target) takes(now time.Time) bool {
+	if t.load.Taken.IsZero() {
+		return t.usable(now) && now.Sub(t.registered) >= firstReport
+	}
 	closed := t.load.Closed && now.Sub(t.load.Taken) < reportAge
 	return t.usable(now) && !closed
 }
--- a/internal/core/watch/follower_test.go
+++ b/internal/core/watch/follower_test.go
@@ -138,3 +138,20 @@
 		}
 	})
 }
+
+// TestOldCallTellsNothing keeps a read that waited through an outage, and fails
+// after it, from looking like another one.
+func TestOldCallTellsNothing(t *testing.T) {
+	var h watch.Health
+	start := time.Now()
+	h.Bad(start.Add(time.Second), graniteknot.ErrNotDone)
+	h.Good(start.Add(2 * time.Second))
+	h.Bad(start, graniteknot.ErrNotDone)
+	if _, up := h.Back(); !up {
+		t.Error("an old call made the store look lost")
+	}
+	h.Bad(start.Add(3*time.Second), graniteknot.ErrNotDone)
+	if _, up := h.Back(); up {
+		t.Error("a new call did not")
+	}
+}
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -19,15 +19,15 @@
 	down time.Time
 	// back is when the store answered again after the last outage.
 	back time.Time
-	// failures counts failed calls in a row.
-	failures int
+	// answered is when the store answered last.
+	answered time.Time
 }
 
 // Good notes a call that the store answered.
 func (h *Health) Good(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failures = 0
+	h.answered = now
 	if h.down.IsZero() {
 		return
 	}
@@ -35,12 +35,13 @@
 	h.down, h.back = time.Time{}, now
 }
 
-// Bad notes a call that the store did not answer, or refused.
+// Bad notes a call that the store did not answer, or refused. One that began
+// before the store last answered, as a read that waits for long does, tells
+// nothing new.
 func (h *Health) Bad(began time.Time, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failures++
-	if !h.down.IsZero() {
+	if !h.down.IsZero() || began.Before(h.answered) {
 		return
 	}
 	h.down = began
