--- a/expertmap/held/rank.go
+++ b/expertmap/held/rank.go
@@ -31,6 +31,10 @@
 	Fence graniteknot.Position
 	// Placement is set for KindPrepare.
 	Placement *planner.Placement
+	// Base, if it is set, is a map of version BaseVersion that ranks were told in
+	// the same epoch, and that Placement differs little from.
+	Base        *planner.Placement
+	BaseVersion Version
 }
 
 // Result is what became of a command.
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -33,6 +33,9 @@
 	Log    *eventlog.Log
 	Meter  *meter.Meter
 
+	peers peers
+	maps  maps
+
 	mu sync.Mutex
 	// fence is the highest that was heard, heard when.
 	fence graniteknot.Position
@@ -96,6 +99,16 @@
 		return &wire.GiveReply{Result: int32(held.ResultFenced), Fenced: int64(higher)}, nil
 	}
 	c := commandOf(r)
+	if c.Kind == held.KindPrepare {
+		if c.Placement == nil {
+			base, ok := d.maps.changed(c.Epoch, held.Version(r.GetBase()), r.GetMoves())
+			if !ok {
+				return &wire.GiveReply{UnknownBase: true}, nil
+			}
+			c.Placement = base
+		}
+		d.maps.put(c.Epoch, c.Version, c.Placement)
+	}
 	result := d.give(ctx, c)
 	return &wire.GiveReply{Result: int32(result)}, nil
 }
@@ -210,7 +223,7 @@
 	r := &wire.GiveRequest{
 		Fence: int64(c.Fence), Kind: int32(c.Kind), Version: int64(c.Version), Step: uint64(c.Step), Epoch: int64(c.Epoch),
 	}
-	if c.Placement == nil {
+	if c.Placement == nil || c.Base != nil {
 		return r
 	}
 	s := c.Placement.Shape
--- a/internal/core/ranks/find.go
+++ b/internal/core/ranks/find.go
@@ -41,6 +41,7 @@
 			direct := reach(place.Target)
 			if r, ok := ask(ctx, name, doer, direct); ok {
 				found[i] = NewMember(r, doer, direct)
+				found[i].address = place.Sidecar
 			}
 		})
 	}
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -35,10 +35,15 @@
 	// last 800 ms 1.70, from the last 1.5 s 1.80.
 	countRound   = 100 * time.Millisecond
 	windowLength = 200 * time.Millisecond
-	// roomPerRank is how many experts a rank loads for one switch. Loading takes
-	// most of a switch; in the same replays one left a skew of 1.60, three 1.71,
-	// twelve 2.10.
-	roomPerRank = 1
+	// loadTime is how long a rank may load for one switch, if that is enough for
+	// one expert. Loading takes most of a switch; in the same replays, where one
+	// expert takes 98 ms, one left a skew of 1.60, three 1.71, twelve 2.10.
+	loadTime = 100 * time.Millisecond
+	// tallyRound is the least time between two readings of a large group's sums.
+	tallyRound = 200 * time.Millisecond
+	// rankTime is added to each pause for each rank: what a look at one takes of
+	// the keeper's processor and link.
+	rankTime = 600 * time.Microsecond
 	// roundWait is how long a round waits for the ranks' answers; what comes
 	// later serves the next round.
 	roundWait = 40 * time.Millisecond
@@ -88,7 +93,9 @@
 	// prepared is when each rank was last told to prepare.
 	prepared []time.Time
 	window   window
-	pace     pace
+	// tally reads the counts of a large group; nil for a small one.
+	tally *tally
+	pace  pace
 	// fixed tells that the planner's threshold was set from outside.
 	fixed bool
 	// phase is the last decision's; since is when it began.
@@ -99,9 +106,14 @@
 
 // NewKeeper returns a keeper that does nothing until Run.
 func NewKeeper(p Parts) *Keeper {
-	return &Keeper{
+	k := &Keeper{
 		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
 	}
+	s := p.Planner.Shape
+	if s.Ranks*s.Layers*s.Experts > smallGroup {
+		k.tally = newTally(s, p.Members)
+	}
+	return k
 }
 
 // version returns the number of the next map. Since fences grow from keeper to
@@ -130,13 +142,19 @@
 	for _, m := range k.Members {
 		m.calls.Stop()
 	}
+	if k.tally != nil {
+		k.tally.calls.Stop()
+	}
 }
 
 // round reads all ranks and gives the orders that follow. It returns when the
 // next round is due.
 func (k *Keeper) round(ctx context.Context) (time.Duration, graniteknot.Position) {
 	now := time.Now()
-	count := now.Sub(k.counted) >= countRound && k.pause(k.phase) > fastRound
+	count := k.tally == nil && now.Sub(k.counted) >= countRound && k.pause(k.phase) > fastRound
+	if k.tally != nil && k.placement != nil && k.phase != held.PhaseClosed {
+		k.tally.read(now, tallyRound)
+	}
 	looks, whole := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), Counts: count, Lists: k.placement == nil}, now)
 	if fenced := k.otherFence(); fenced > k.Fence {
 		return 0, fenced
@@ -168,14 +186,17 @@
 	return k.pause(d.Phase), 0
 }
 
+// forRanks is by how much longer the keeper of a larger group pauses.
+func (k *Keeper) forRanks() time.Duration { return time.Duration(len(k.Members)) * rankTime }
+
 func (k *Keeper) pause(p held.Phase) time.Duration {
 	switch p {
 	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing:
 		return fastRound
 	case held.PhasePreparing, held.PhaseArmed:
-		return slowRound
+		return slowRound + k.forRanks()
 	case held.PhaseIdle:
-		return planRound
+		return planRound + k.forRanks()
 	case held.PhaseClosed:
 	}
 	return idleRound
@@ -265,6 +286,9 @@
 	}
 	if states[0].Epoch != k.epoch {
 		k.window.forget()
+		if k.tally != nil {
+			k.tally.forget()
+		}
 	}
 	k.epoch, k.mapping = states[0].Epoch, newest
 	k.offered, k.wish = nil, held.Wish{}
@@ -303,12 +327,31 @@
 	k.window.add(now, counts)
 }
 
+// loads returns how often experts were chosen of late.
+func (k *Keeper) loads() (planner.Loads, bool) {
+	if k.tally != nil {
+		return k.tally.loads()
+	}
+	return k.window.loads()
+}
+
+// room is what one switch may load: as many experts a rank as take loadTime, one
+// at the least.
+func (k *Keeper) room() planner.Room {
+	e := k.Engine.Experts
+	perRank := 1
+	if e.Bandwidth > 0 && e.Size > 0 {
+		perRank = max(1, int(loadTime.Seconds()*e.Bandwidth/float64(e.Size)))
+	}
+	return planner.Room{PerLayer: e.Spare, PerRank: perRank}
+}
+
 // plan chooses the next map, if one is worth it and none is under way.
 func (k *Keeper) plan() {
 	if k.wish.Version != 0 || k.placement == nil {
 		return
 	}
-	loads, ok := k.window.loads()
+	loads, ok := k.loads()
 	if !ok {
 		return
 	}
@@ -316,7 +359,7 @@
 	if !k.fixed {
 		k.Planner.Threshold = threshold(k.pace.pass, k.Gap)
 	}
-	next := k.Planner.PlanNext(k.placement, planner.Room{PerLayer: k.Engine.Experts.Spare, PerRank: roomPerRank})
+	next := k.Planner.PlanNext(k.placement, k.room())
 	if next.Moves == 0 {
 		return
 	}
@@ -341,6 +384,7 @@
 			}
 			k.prepared[o.Rank] = now
 			c.Placement = k.offered
+			c.Base, c.BaseVersion = k.placement, k.mapping
 		}
 		k.remember(&o)
 		k.Members[o.Rank].give(c, now, w.done)
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -33,6 +33,8 @@
 	rank graniteknot.Rank
 	// doer is the sidecar's calls.
 	doer wire.Ranks
+	// address is the sidecar's, for others to reach it; empty when it has none.
+	address graniteknot.Address
 	// direct is the rank itself, from afar; nil for none.
 	direct held.Rank
 	calls  group.Group
@@ -207,7 +209,16 @@
 		}
 		return result
 	}
-	reply, err := m.doer.Give(ctx, commandToWire(c))
+	request := commandToWire(c)
+	if c.Base != nil {
+		request.Base, request.Moves = int64(c.BaseVersion), difference(c.Base, c.Placement)
+	}
+	reply, err := m.doer.Give(ctx, request)
+	if err == nil && reply.GetUnknownBase() {
+		whole := *c
+		whole.Base = nil
+		reply, err = m.doer.Give(ctx, commandToWire(&whole))
+	}
 	if err != nil {
 		return held.ResultLost
 	}
--- /dev/null
+++ b/internal/core/ranks/moves.go
@@ -0,0 +1,84 @@
+package ranks
+
+import (
+	"sync"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/planner"
+)
+
+// mostMaps is how many maps a sidecar remembers: the one in force, and those that
+// it was told to prepare since.
+const mostMaps = 3
+
+// maps remembers the maps that a sidecar was told, so that the next one can be
+// told by how it differs.
+type maps struct {
+	mu    sync.Mutex
+	known []knownMap
+}
+
+type knownMap struct {
+	epoch     held.Epoch
+	version   held.Version
+	placement *planner.Placement
+}
+
+// put remembers a map.
+func (m *maps) put(e held.Epoch, v held.Version, p *planner.Placement) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known = append(m.known, knownMap{e, v, p})
+	if len(m.known) > mostMaps {
+		m.known = m.known[1:]
+	}
+}
+
+// changed returns a remembered map with changes; false when it is unknown, or
+// the changes do not fit it.
+func (m *maps) changed(e held.Epoch, base held.Version, moves []int32) (*planner.Placement, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range m.known {
+		if k.epoch == e && k.version == base {
+			return applied(k.placement, moves)
+		}
+	}
+	return nil, false
+}
+
+// movesWidth is how many numbers tell one move: set, rank, place and expert.
+const movesWidth = 4
+
+func applied(p *planner.Placement, moves []int32) (*planner.Placement, bool) {
+	next := p.Clone()
+	s := p.Shape
+	for ; len(moves) >= movesWidth; moves = moves[movesWidth:] {
+		l, r, slot := int(moves[0]), int(moves[1]), int(moves[2])
+		if l < 0 || l >= s.Layers || r < 0 || r >= s.Ranks || slot < 0 || slot >= s.Slots || int(moves[3]) >= s.Experts {
+			return nil, false
+		}
+		next.Apply(planner.Batch{Moves: []planner.Move{{
+			Layer: graniteknot.Layer(l), To: graniteknot.Rank(r), Slot: slot, Expert: graniteknot.Expert(moves[3]),
+		}}})
+	}
+	return next, true
+}
+
+// difference tells how a map differs from another of the same shape.
+func difference(from, to *planner.Placement) []int32 {
+	var out []int32
+	s := to.Shape
+	for l := range s.Layers {
+		for r := range s.Ranks {
+			before := from.Rank(graniteknot.Layer(l), graniteknot.Rank(r))
+			for i, e := range to.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				if before[i] != e {
+					out = append(out, int32(l), int32(r), int32(i), int32(e))
+				}
+			}
+		}
+	}
+	return out
+}
