--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -357,7 +357,7 @@
 	}
 	k.Planner.Observe(loads)
 	if !k.fixed {
-		k.Planner.Threshold = threshold(k.pace.pass, k.Gap)
+		k.Planner.Threshold = threshold(k.pace.pass, k.Gap) * relativeCost(k.Engine.Experts, len(k.Members))
 	}
 	next := k.Planner.PlanNext(k.placement, k.room())
 	if next.Moves == 0 {
--- a/internal/core/ranks/threshold.go
+++ b/internal/core/ranks/threshold.go
@@ -1,6 +1,10 @@
 package ranks
 
-import "time"
+import (
+	"time"
+
+	"graniteknot.org/go/catalog"
+)
 
 // What one loaded expert has to gain in skew, summed over the sets, to be worth
 // loading. Skew only costs callers something when passes come near the longest
@@ -17,6 +21,23 @@
 	busyShare = 0.60
 )
 
+// The group that the thresholds were measured on.
+const (
+	measuredSize  = 2_200_000_000
+	measuredRanks = 12
+	measuredSets  = 4
+)
+
+// relativeCost is what loading an expert costs against what skew costs, compared
+// with the group that the thresholds were measured on: loading costs by its
+// bytes, skew by the requests of all ranks, and each set has its part of a pass.
+func relativeCost(e *catalog.Experts, ranks int) float64 {
+	if e.Size <= 0 {
+		return 1
+	}
+	return float64(e.Size) / measuredSize * measuredRanks / float64(ranks) * float64(e.Sets) / measuredSets
+}
+
 // threshold returns what one loaded expert has to gain, for how long passes take.
 func threshold(pass, gap time.Duration) float64 {
 	if pass <= 0 || gap <= 0 {
