Maps: a keeper whose box stops right after its hold no longer stops the group

The hold now goes from the keeper's box to another rank, the keeper's own rank is armed last, and the next keeper, under its fence, lets the held step begin without the former one's rank while no other rank is armed. Only where ranks check fences (setting fences_checked).

The search of every interleaving found two faults on the way, each now a rule with a test that fails without it: arming for a step that was let go earlier (the late go lets half the ranks in), and going on without a rank that the same keeper had armed.

--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -32,13 +32,21 @@
 type Decision struct {
 	Phase  Phase
 	Orders []Order
+	// Freed, if it is not Never, is a held step that the orders let begin
+	// although no rank is armed for it.
+	Freed graniteknot.Step
 }
 
 // Wish is what the keeper would like.
 type Wish struct {
 	// Version is the map to switch to; 0 for none.
 	Version Version
-	// Home is the rank that holds, and Lead how many steps ahead.
+	// Own is the keeper's own rank. It is armed last, so that while another one is
+	// not armed everybody knows that it is not either.
+	Own graniteknot.Rank
+	// Home is the rank that holds, and Lead how many steps ahead. It is not the
+	// keeper's own where the group has others: if the keeper's box stops, another
+	// keeper can still reach what it held.
 	Home graniteknot.Rank
 	Lead graniteknot.Step
 	// Hold is the step that the keeper asked to hold and has not seen passed;
@@ -49,6 +57,10 @@
 	// seen passed; Never for none. It does not change until then, so that all
 	// ranks are armed for the same step.
 	ArmAt graniteknot.Step
+	// Freed is the step that the keeper has let begin without arming and has not
+	// seen begun; Never for none. Until then nothing is armed, since the order to
+	// go may be carried out late, before all ranks are armed.
+	Freed graniteknot.Step
 }
 
 // Decide returns the orders that all ranks' states ask for. The states must have
@@ -60,14 +72,16 @@
 	}
 	switch {
 	case g.armed != 0:
-		return g.rollForward(states, g.armed, g.armedAt)
+		return g.rollForward(states, g.armed, g.armedAt, w.Own)
+	case w.Freed > g.step:
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states), Freed: w.Freed}
 	case g.apart:
 		// The ranks were read while the group passed from one map to the next.
 		return Decision{Phase: PhaseArmed}
 	case g.held != Never && g.prepared != 0:
-		return g.rollForward(states, g.prepared, g.armAt(states, w))
+		return g.rollForward(states, g.prepared, g.armAt(states, w), w.Own)
 	case g.held != Never:
-		return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states), Freed: g.lastHeld}
 	case g.prepared != 0 && (w.Version == 0 || g.prepared == w.Version):
 		return g.hold(w)
 	case w.Version != 0:
@@ -115,13 +129,24 @@
 	return d
 }
 
-// rollForward arms all ranks and then lets the step begin.
-func (g *group) rollForward(states []State, v Version, at graniteknot.Step) Decision {
+// rollForward arms all ranks, the keeper's own last, and then lets the step
+// begin.
+func (g *group) rollForward(states []State, v Version, at graniteknot.Step, own graniteknot.Rank) Decision {
 	d := Decision{Phase: PhaseArming}
+	var last []Order
 	for r, s := range states {
-		if s.Armed != v && s.Mapping != v {
-			d.Orders = append(d.Orders, Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch})
+		if s.Armed == v || s.Mapping == v {
+			continue
 		}
+		o := Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch}
+		if o.Rank == own {
+			last = append(last, o)
+			continue
+		}
+		d.Orders = append(d.Orders, o)
+	}
+	if len(d.Orders) == 0 {
+		d.Orders = last
 	}
 	if len(d.Orders) > 0 {
 		return d
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -18,6 +18,8 @@
 	armedAt  graniteknot.Step
 	// held is the first step that any rank holds; Never for none.
 	held graniteknot.Step
+	// lastHeld is the last such step.
+	lastHeld graniteknot.Step
 }
 
 // sum returns false when the group is not whole or does not run.
@@ -39,6 +41,7 @@
 		if s.Armed != 0 {
 			g.armed, g.armedAt = s.Armed, s.ArmedAt
 		}
+		g.lastHeld = max(g.lastHeld, s.Held)
 		if s.Held != Never && (g.held == Never || s.Held < g.held) {
 			g.held = s.Held
 		}
--- a/expertmap/held/search_test.go
+++ b/expertmap/held/search_test.go
@@ -22,6 +22,8 @@
 	// keepers is how many there are at once, 1 or 2; breaks is how often the
 	// group is formed anew; maps is how many maps each keeper brings.
 	keepers, breaks, maps uint8
+	// missing lets the second keeper go on without the first one's rank.
+	missing bool
 }
 
 // rules are those that a search may take out.
@@ -34,6 +36,12 @@
 	// noFence lets ranks take orders of former keepers, and a new keeper begin
 	// without making its fence known.
 	noFence bool
+	// ownFirst arms the keeper's own rank with the others.
+	ownFirst bool
+	// noFreed lets the keeper arm for a step that it has let go.
+	noFreed bool
+	// noArmed lets the keeper go on without a rank after it has sent arms.
+	noArmed bool
 }
 
 // rankModel is one rank as the platform's pages describe it.
@@ -56,6 +64,9 @@
 	hold    graniteknot.Step
 	armAt   graniteknot.Step
 	wish    held.Version
+	freed   graniteknot.Step
+	// without tells that the first keeper's rank could not be read.
+	without bool
 	// maps counts the maps that the keeper brought.
 	maps uint8
 }
@@ -81,7 +92,7 @@
 func newWorld(s span) world {
 	w := world{span: s}
 	for r := range w.ranks {
-		w.ranks[r].state = held.State{Epoch: 1, Open: true}
+		w.ranks[r].state = held.State{Epoch: 1, Open: true, Working: true}
 	}
 	w.keepers[0] = keeperModel{alive: true, fence: 1}
 	return w
@@ -147,7 +158,7 @@
 	w.breaks++
 	for r := range w.ranks {
 		s := w.ranks[r].state
-		w.ranks[r] = rankModel{state: held.State{Epoch: s.Epoch + 1, Open: true, Step: s.Step}}
+		w.ranks[r] = rankModel{state: held.State{Epoch: s.Epoch + 1, Open: true, Working: true, Step: s.Step}}
 	}
 	return w
 }
@@ -201,6 +212,12 @@
 		}
 		return out
 	}
+	if w.span.missing && k == 1 && !keeper.without && keeper.reading == 0 {
+		out = append(out, w.beginWithout())
+	}
+	if keeper.without {
+		return append(out, w.goWithout(u))
+	}
 	if int(keeper.fenced) < searchRanks && !u.noFence {
 		return append(out, w.fenceNext(k))
 	}
@@ -210,6 +227,37 @@
 	return append(out, w.act(k, u))
 }
 
+// beginWithout has the second keeper find that the first one's rank can't be
+// reached.
+func (w world) beginWithout() world {
+	w.keepers[1].without = true
+	return w
+}
+
+// goWithout makes the second keeper's fence known to its own rank, reads it, and
+// acts.
+func (w world) goWithout(u rules) world {
+	const rank = 1
+	keeper := &w.keepers[1]
+	keeper.without = false
+	w.doers[rank] = max(w.doers[rank], keeper.fence)
+	if !u.noFence {
+		w.ranks[rank].fence = max(w.ranks[rank].fence, keeper.fence)
+	}
+	var states [searchRanks]held.State
+	states[rank] = w.ranks[rank].state
+	wish := held.Wish{ArmAt: keeper.armAt}
+	if u.noArmed {
+		wish.ArmAt = held.Never
+	}
+	d := held.DecideWithout(states[:], 0, wish)
+	keeper.freed = max(keeper.freed, d.Freed)
+	for _, o := range d.Orders {
+		w.send(1, o)
+	}
+	return w
+}
+
 func (w world) fenceNext(k int) world {
 	keeper := &w.keepers[k]
 	r := keeper.fenced
@@ -238,8 +286,13 @@
 func (w world) act(k int, u rules) world {
 	keeper := &w.keepers[k]
 	keeper.reading = 0
-	wish := held.Wish{Version: keeper.wish, Home: graniteknot.Rank(k), Lead: searchLead, Hold: keeper.hold, ArmAt: keeper.armAt}
+	home := graniteknot.Rank((k + 1) % searchRanks)
+	wish := held.Wish{Version: keeper.wish, Own: graniteknot.Rank(k), Home: home, Lead: searchLead, Hold: keeper.hold, ArmAt: keeper.armAt}
+	if !u.noFreed {
+		wish.Freed = keeper.freed
+	}
 	d := held.Decide(keeper.seen[:], wish)
+	keeper.freed = max(keeper.freed, d.Freed)
 	if keeper.wish != 0 && keeper.seen[0].Mapping >= keeper.wish && keeper.seen[1].Mapping >= keeper.wish {
 		keeper.wish = 0
 	}
@@ -254,6 +307,9 @@
 	if u.noHold && d.Phase == held.PhaseHolding {
 		orders = armAll(orders[0].Step, keeper.seen[:])
 	}
+	if u.ownFirst && d.Phase == held.PhaseArming {
+		orders = armAll(orders[0].Step, keeper.seen[:])
+	}
 	if u.noSeen && d.Phase == held.PhaseArming {
 		orders = append(orders, goAll(keeper.seen[:])...)
 	}
@@ -354,9 +410,10 @@
 		span  span
 		rules rules
 	}{
-		"two maps":    {span{keepers: 1, maps: 2}, rules{}},
-		"new epoch":   {span{keepers: 1, breaks: 1, maps: 1}, rules{}},
-		"two keepers": {span{keepers: 2, maps: 1}, rules{}},
+		"two maps":                {span{keepers: 1, maps: 2}, rules{}},
+		"new epoch":               {span{keepers: 1, breaks: 1, maps: 1}, rules{}},
+		"two keepers":             {span{keepers: 2, maps: 1}, rules{}},
+		"a keeper's rank missing": {span{keepers: 2, maps: 1, missing: true}, rules{}},
 		// Safety does not rest on ranks that check fences, also of late orders.
 		"two keepers without fences": {span{keepers: 2, maps: 1}, rules{noFence: true}},
 	}
@@ -382,6 +439,11 @@
 		"hold":  {span{keepers: 1, maps: 1}, rules{noHold: true}},
 		"seen":  {span{keepers: 1, maps: 1}, rules{noSeen: true}},
 		"epoch": {span{keepers: 1, breaks: 1, maps: 1}, rules{noEpoch: true}},
+		// Only going on without the former keeper's rank rests on fences.
+		"fence":    {span{keepers: 2, maps: 1, missing: true}, rules{noFence: true}},
+		"freed":    {span{keepers: 2, maps: 1, missing: true}, rules{noFreed: true}},
+		"armed":    {span{keepers: 2, maps: 1, missing: true}, rules{noArmed: true}},
+		"own last": {span{keepers: 2, maps: 1, missing: true}, rules{ownFirst: true}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/expertmap/held/state.go
+++ b/expertmap/held/state.go
@@ -27,6 +27,8 @@
 	ArmedAt graniteknot.Step
 	// Held is the step that the rank does not begin; Never for none.
 	Held graniteknot.Step
+	// Working tells that the rank has requests, so that its group begins passes.
+	Working bool
 }
 
 // Kind says what an order does.
--- a/internal/core/directconf/config.go
+++ b/internal/core/directconf/config.go
@@ -54,6 +54,8 @@
 	RetryPercent float64
 	RetryExtra   float64
 	RetryWindow  time.Duration
+	// FencesChecked tells that ranks refuse orders of former keepers.
+	FencesChecked bool
 	// Stall is how long a lock-step group stands still for a lost rank.
 	Stall time.Duration
 }
--- a/internal/core/directconf/parser.go
+++ b/internal/core/directconf/parser.go
@@ -1,6 +1,8 @@
 package directconf
 
 import (
+	"fmt"
+	"strconv"
 	"strings"
 
 	graniteknot "graniteknot.org/go"
@@ -21,27 +23,28 @@
 
 // setters lists every key as "section.key".
 var setters = map[string]setter{
-	"process.role":       setRole,
-	"process.box":        func(c *Config, v string) string { return setName(&c.Box, v) },
-	"process.zone":       func(c *Config, v string) string { return setName(&c.Zone, v) },
-	"process.region":     func(c *Config, v string) string { c.Region = v; return "" },
-	"process.memory_mb":  setMemory,
-	"process.stop_bound": func(c *Config, v string) string { return setDuration(&c.Stop, v) },
-	"listen.requests":    func(c *Config, v string) string { return setAddress(&c.Requests, v) },
-	"listen.readiness":   func(c *Config, v string) string { return setAddress(&c.Readiness, v) },
-	"listen.directory":   func(c *Config, v string) string { return setAddress(&c.Directory, v) },
-	"listen.peers":       func(c *Config, v string) string { return setAddress(&c.Peers, v) },
-	"listen.metrics":     func(c *Config, v string) string { return setAddress(&c.Metrics, v) },
-	"store.address":      func(c *Config, v string) string { return setAddress(&c.Store, v) },
-	"target.address":     func(c *Config, v string) string { return setAddress(&c.Target, v) },
-	"target.service":     func(c *Config, v string) string { return setName(&c.TargetService, v) },
-	"bounds.key_age":     func(c *Config, v string) string { return setDuration(&c.KeyAge, v) },
-	"bounds.drain":       func(c *Config, v string) string { return setDuration(&c.Drain, v) },
-	"bounds.answer_life": func(c *Config, v string) string { return setDuration(&c.AnswerLife, v) },
-	"bounds.stall":       func(c *Config, v string) string { return setDuration(&c.Stall, v) },
-	"retries.share":      setShare,
-	"retries.extra":      setExtra,
-	"retries.window":     func(c *Config, v string) string { return setDuration(&c.RetryWindow, v) },
+	"process.role":          setRole,
+	"process.box":           func(c *Config, v string) string { return setName(&c.Box, v) },
+	"process.zone":          func(c *Config, v string) string { return setName(&c.Zone, v) },
+	"process.region":        func(c *Config, v string) string { c.Region = v; return "" },
+	"process.memory_mb":     setMemory,
+	"process.stop_bound":    func(c *Config, v string) string { return setDuration(&c.Stop, v) },
+	"listen.requests":       func(c *Config, v string) string { return setAddress(&c.Requests, v) },
+	"listen.readiness":      func(c *Config, v string) string { return setAddress(&c.Readiness, v) },
+	"listen.directory":      func(c *Config, v string) string { return setAddress(&c.Directory, v) },
+	"listen.peers":          func(c *Config, v string) string { return setAddress(&c.Peers, v) },
+	"listen.metrics":        func(c *Config, v string) string { return setAddress(&c.Metrics, v) },
+	"store.address":         func(c *Config, v string) string { return setAddress(&c.Store, v) },
+	"target.address":        func(c *Config, v string) string { return setAddress(&c.Target, v) },
+	"target.service":        func(c *Config, v string) string { return setName(&c.TargetService, v) },
+	"bounds.key_age":        func(c *Config, v string) string { return setDuration(&c.KeyAge, v) },
+	"bounds.drain":          func(c *Config, v string) string { return setDuration(&c.Drain, v) },
+	"bounds.answer_life":    func(c *Config, v string) string { return setDuration(&c.AnswerLife, v) },
+	"bounds.fences_checked": setFences,
+	"bounds.stall":          func(c *Config, v string) string { return setDuration(&c.Stall, v) },
+	"retries.share":         setShare,
+	"retries.extra":         setExtra,
+	"retries.window":        func(c *Config, v string) string { return setDuration(&c.RetryWindow, v) },
 }
 
 func (p *parser) section(s *inifile.Section) {
@@ -99,4 +102,13 @@
 	return expected
 }
 
+func setFences(c *Config, v string) string {
+	got, err := strconv.ParseBool(v)
+	if err != nil {
+		return fmt.Sprintf("true or false, got %q", v)
+	}
+	c.FencesChecked = got
+	return ""
+}
+
 func setExtra(c *Config, v string) string { return setNumber(&c.RetryExtra, v) }
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -40,6 +40,23 @@
 	// fence is the highest that was heard, heard when.
 	fence graniteknot.Position
 	heard time.Time
+	// keeper is the own rank of the last keeper that told it; none before.
+	keeper graniteknot.Rank
+	told   bool
+}
+
+// Keeper returns the own rank of the last keeper; false when it is unknown.
+func (d *Doer) Keeper() (graniteknot.Rank, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.keeper, d.told
+}
+
+// note keeps the own rank of a keeper.
+func (d *Doer) note(r graniteknot.Rank) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.keeper, d.told = r, true
 }
 
 // Fence returns the highest fence heard, and when.
@@ -69,6 +86,9 @@
 		if higher := d.admit(graniteknot.Position(r.GetFence())); higher != 0 {
 			return &wire.LookReply{Fenced: int64(higher)}, nil
 		}
+		if own := r.GetOwnRank(); own > 0 {
+			d.note(graniteknot.Rank(own - 1))
+		}
 	}
 	report, err := d.Rank.Report(ctx)
 	if err != nil {
@@ -76,7 +96,7 @@
 	}
 	reply := &wire.LookReply{
 		Group: string(report.Group), Rank: int32(report.Rank), Size: int32(report.Size), Target: string(d.Target),
-		State: stateToWire(report.State), Pace: report.Pace,
+		State: stateToWire(report.State, report.Running+report.Waiting > 0), Pace: report.Pace,
 	}
 	if r.GetCounts() {
 		if reply.Counts, err = d.Rank.Counts(ctx); err != nil {
@@ -147,10 +167,10 @@
 	}
 }
 
-func stateToWire(s held.State) *wire.RankState {
+func stateToWire(s held.State, working bool) *wire.RankState {
 	return &wire.RankState{
 		Epoch: int64(s.Epoch), Open: s.Open, Step: uint64(s.Step), Mapping: int64(s.Mapping), Prepared: int64(s.Prepared),
-		Armed: int64(s.Armed), ArmedAt: uint64(s.ArmedAt), Held: uint64(s.Held),
+		Armed: int64(s.Armed), ArmedAt: uint64(s.ArmedAt), Held: uint64(s.Held), Working: working,
 	}
 }
 
@@ -158,7 +178,7 @@
 	return held.State{
 		Epoch: held.Epoch(s.GetEpoch()), Open: s.GetOpen(), Step: graniteknot.Step(s.GetStep()),
 		Mapping: held.Version(s.GetMapping()), Prepared: held.Version(s.GetPrepared()), Armed: held.Version(s.GetArmed()),
-		ArmedAt: graniteknot.Step(s.GetArmedAt()), Held: graniteknot.Step(s.GetHeld()),
+		ArmedAt: graniteknot.Step(s.GetArmedAt()), Held: graniteknot.Step(s.GetHeld()), Working: s.GetWorking(),
 	}
 }
 
--- a/internal/core/ranks/find.go
+++ b/internal/core/ranks/find.go
@@ -28,7 +28,11 @@
 // Find asks sidecars which rank is theirs, and ranks whose sidecars do not
 // answer which they are. It returns the members of the group by rank; false
 // unless there is one for each.
-func Find(ctx context.Context, name held.GroupName, size int, places []Place, reach func(graniteknot.Address) held.Rank) ([]*Member, bool) {
+//
+// The former keeper's rank need not answer: where it alone is lacking, and one
+// place alone does not answer, it is taken to be there. Pass a negative rank for
+// none.
+func Find(ctx context.Context, name held.GroupName, size int, former graniteknot.Rank, places []Place, reach func(graniteknot.Address) held.Rank) ([]*Member, bool) {
 	if size <= 0 {
 		return nil, false
 	}
@@ -39,32 +43,56 @@
 		all.Go(func(context.Context) {
 			doer := wire.NewRanksProtobufClient("http://"+string(place.Sidecar), client)
 			direct := reach(place.Target)
-			if r, ok := ask(ctx, name, doer, direct); ok {
-				found[i] = NewMember(r, doer, direct)
-				found[i].address = place.Sidecar
-			}
+			found[i] = NewMember(ask(ctx, name, doer, direct), doer, direct)
+			found[i].address = place.Sidecar
 		})
 	}
 	all.Wait()
 	members := make([]*Member, size)
+	var silent []*Member
 	for _, m := range found {
-		if m != nil && int(m.rank) < size {
+		switch {
+		case m.rank >= 0 && int(m.rank) < size:
 			members[m.rank] = m
+		case m.rank == unanswered:
+			silent = append(silent, m)
 		}
 	}
+	if former >= 0 && int(former) < size && members[former] == nil && len(silent) == 1 {
+		silent[0].rank = former
+		members[former] = silent[0]
+	}
 	return members, !slices.Contains(members, nil)
 }
 
+// unanswered and elsewhere stand for the rank of a place that did not answer, or
+// that is no rank of the group.
+const (
+	unanswered graniteknot.Rank = -1
+	elsewhere  graniteknot.Rank = -2
+)
+
 // ask finds out which rank of the group is at a place.
-func ask(ctx context.Context, name held.GroupName, doer wire.Ranks, direct held.Rank) (graniteknot.Rank, bool) {
+func ask(ctx context.Context, name held.GroupName, doer wire.Ranks, direct held.Rank) graniteknot.Rank {
 	short, cancel := context.WithTimeout(ctx, findTime)
 	defer cancel()
 	reply, err := doer.Look(short, &wire.LookRequest{})
 	if err == nil {
-		return graniteknot.Rank(reply.GetRank()), held.GroupName(reply.GetGroup()) == name
+		return ifIn(name, held.GroupName(reply.GetGroup()), graniteknot.Rank(reply.GetRank()))
 	}
 	long, stop := context.WithTimeout(ctx, reachTime)
 	defer stop()
 	report, err := direct.Report(long)
-	return report.Rank, err == nil && report.Group == name
+	if err != nil {
+		return unanswered
+	}
+	return ifIn(name, report.Group, report.Rank)
+}
+
+// ifIn returns a rank if its group is the one that is looked for.
+func ifIn(name, group held.GroupName, r graniteknot.Rank) graniteknot.Rank {
+	if group != name {
+		return elsewhere
+	}
+	return r
 }
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -62,8 +62,9 @@
 type Parts struct {
 	// Fence is higher than any former keeper's.
 	Fence graniteknot.Position
-	// Home is the keeper's own rank, which holds.
-	Home graniteknot.Rank
+	// Own is the keeper's own rank, Former that of the keeper before it; the same
+	// when there was none, or it is not known.
+	Own, Former graniteknot.Rank
 	// Engine has experts.
 	Engine *catalog.Engine
 	// Gap is the longest useful pause between events; 0 is unknown.
@@ -155,13 +156,12 @@
 	if k.tally != nil && k.placement != nil && k.phase != held.PhaseClosed {
 		k.tally.read(now, tallyRound)
 	}
-	looks, whole := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), Counts: count, Lists: k.placement == nil}, now)
+	looks, whole := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), OwnRank: int32(k.Own) + 1, Counts: count, Lists: k.placement == nil}, now)
 	if fenced := k.otherFence(); fenced > k.Fence {
 		return 0, fenced
 	}
 	if !whole {
-		k.enter(held.PhaseClosed)
-		return idleRound, 0
+		return k.without(ctx, now), 0
 	}
 	states := make([]held.State, len(looks))
 	for i := range looks {
@@ -179,8 +179,9 @@
 		k.plan()
 	}
 	k.pace.see(states[0].Step, now)
-	k.wish.Home, k.wish.Lead = k.Home, k.pace.lead()
+	k.wish.Own, k.wish.Home, k.wish.Lead = k.Own, k.home(), k.pace.lead()
 	d := held.Decide(states, k.wish)
+	k.wish.Freed = max(k.wish.Freed, d.Freed)
 	k.enter(d.Phase)
 	k.give(ctx, d.Orders, now)
 	return k.pause(d.Phase), 0
@@ -247,6 +248,45 @@
 	return highest
 }
 
+// home is the rank that holds: the one after the keeper's own.
+func (k *Keeper) home() graniteknot.Rank {
+	return (k.Own + 1) % graniteknot.Rank(len(k.Members))
+}
+
+// without goes on while some rank can't be read. If it is the former keeper's
+// alone, the step that it held may begin.
+func (k *Keeper) without(ctx context.Context, now time.Time) time.Duration {
+	states := make([]held.State, len(k.Members))
+	var orders []held.Order
+	for i, m := range k.Members {
+		last, at := m.shown()
+		states[i] = last.state
+		if graniteknot.Rank(i) == k.Former {
+			continue
+		}
+		if time.Since(at) > lookAge {
+			k.enter(held.PhaseClosed)
+			return idleRound
+		}
+		if !m.knowsFence() {
+			orders = append(orders, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(i), Step: held.Never, Epoch: last.state.Epoch})
+		}
+	}
+	if k.Former == k.Own {
+		k.enter(held.PhaseClosed)
+		return idleRound
+	}
+	if len(orders) > 0 {
+		k.give(ctx, orders, now)
+		return fastRound
+	}
+	d := held.DecideWithout(states, k.Former, k.wish)
+	k.wish.Freed = max(k.wish.Freed, d.Freed)
+	k.enter(d.Phase)
+	k.give(ctx, d.Orders, now)
+	return idleRound
+}
+
 // fences returns an order to each rank that does not know the keeper's fence.
 func (k *Keeper) fences(states []held.State) []held.Order {
 	var out []held.Order
@@ -285,13 +325,14 @@
 		k.placement = k.read(looks)
 	}
 	if states[0].Epoch != k.epoch {
+		k.wish.Freed = held.Never
 		k.window.forget()
 		if k.tally != nil {
 			k.tally.forget()
 		}
 	}
 	k.epoch, k.mapping = states[0].Epoch, newest
-	k.offered, k.wish = nil, held.Wish{}
+	k.offered, k.wish = nil, held.Wish{Freed: k.wish.Freed}
 	clear(k.prepared)
 	return true
 }
--- a/internal/core/ranks/keeper_test.go
+++ b/internal/core/ranks/keeper_test.go
@@ -58,14 +58,19 @@
 }
 
 // keeper returns a keeper at a rank; its ranks are also reached from afar.
-func (b *bench) keeper(fence graniteknot.Position, home graniteknot.Rank) *ranks.Keeper {
+func (b *bench) keeper(fence graniteknot.Position, own graniteknot.Rank) *ranks.Keeper {
+	return b.keeperAfter(fence, own, own)
+}
+
+// keeperAfter returns a keeper that knows the rank of the one before it.
+func (b *bench) keeperAfter(fence graniteknot.Position, own, former graniteknot.Rank) *ranks.Keeper {
 	s := b.group.Shape
 	var members []*ranks.Member
 	for r, d := range b.doers {
 		members = append(members, ranks.NewMember(graniteknot.Rank(r), d, b.group.Rank(graniteknot.Rank(r))))
 	}
 	return ranks.NewKeeper(ranks.Parts{
-		Fence: fence, Home: home, Members: members,
+		Fence: fence, Own: own, Former: former, Members: members,
 		Engine:  &catalog.Engine{Experts: &catalog.Experts{Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2}},
 		Planner: &planner.Planner{Shape: s, Threshold: 0.02, Smoothing: 1},
 	})
@@ -214,3 +219,30 @@
 		}
 	})
 }
+
+// TestKeeperBoxStops stops the keeper's box, its own rank's answers with it,
+// right after each of its holds: the next keeper lets the step begin, and goes on
+// with the maps once the box is back.
+func TestKeeperBoxStops(t *testing.T) {
+	for cut := 150 * time.Millisecond; cut < 1200*time.Millisecond; cut += 5 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(small, 4)
+			defer b.stop()
+			b.keepFor(b.keeper(1, 0), cut)
+			untouched := !b.group.AnyArmed()
+			b.group.Deafen(0, true)
+			b.run.Go(func(context.Context) {
+				time.Sleep(5 * time.Second)
+				b.group.Deafen(0, false)
+			})
+			b.keepFor(b.keeperAfter(2, 1, 0), 12*time.Second)
+			shown := b.check(t)
+			if shown.Held || shown.Skew > 1.2 {
+				t.Errorf("cut at %v: held %v, skew %.2f", cut, shown.Held, shown.Skew)
+			}
+			if untouched && shown.Longest > time.Second {
+				t.Errorf("cut at %v, before any rank was armed: the group stood for %v", cut, shown.Longest)
+			}
+		})
+	}
+}
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -204,8 +204,10 @@
 	})
 }
 
+// order gives an order, a hold from the keeper's own box: it is then the
+// keeper's box that gave the last order before the group may stand.
 func (m *Member) order(ctx context.Context, c *held.Command, now time.Time) held.Result {
-	if m.silent(now) {
+	if m.silent(now) || c.Kind == held.KindHold && m.direct != nil {
 		result, err := m.direct.Order(ctx, c)
 		if err != nil {
 			return held.ResultLost
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -75,7 +75,12 @@
 	if engine == nil {
 		return
 	}
-	members, whole := s.find(ctx, report)
+	former, told := s.doer.Keeper()
+	if !told || !s.Config.FencesChecked {
+		// Going on without a rank is safe only where ranks check fences.
+		former = report.Rank
+	}
+	members, whole := s.find(ctx, report, former)
 	if !whole {
 		return
 	}
@@ -100,7 +105,7 @@
 	}
 	k := ranks.NewKeeper(ranks.Parts{
 		// Positions begin at 0, fences at 1.
-		Fence: at + 1, Home: report.Rank, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: members,
+		Fence: at + 1, Own: report.Rank, Former: former, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: members,
 		Planner: &planner.Planner{Shape: shape, Smoothing: 1},
 	})
 	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
@@ -135,12 +140,12 @@
 
 // find asks all sidecars which rank is theirs; false unless all ranks of the
 // group are found.
-func (s *Sidecar) find(ctx context.Context, report *held.Report) ([]*ranks.Member, bool) {
+func (s *Sidecar) find(ctx context.Context, report *held.Report, former graniteknot.Rank) ([]*ranks.Member, bool) {
 	places := []ranks.Place{{Sidecar: s.Config.Peers, Target: s.Config.Target}}
 	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
 		places = append(places, ranks.Place{Sidecar: m.Peers, Target: m.Target})
 	}
-	return ranks.Find(ctx, report.Group, report.Size, places, s.Rank)
+	return ranks.Find(ctx, report.Group, report.Size, former, places, s.Rank)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/standin/obeying/group.go
+++ b/internal/standin/obeying/group.go
@@ -186,6 +186,18 @@
 	return out
 }
 
+// AnyArmed tells whether a rank is armed.
+func (g *Group) AnyArmed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range g.ranks {
+		if r.state.Armed != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Wait waits for the orders that are carried out late.
 func (g *Group) Wait() { g.wait.Wait() }
 
@@ -198,7 +210,7 @@
 	if r.deaf {
 		return held.Report{}, errDeaf
 	}
-	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Pace: 1}, nil
+	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Running: 1, Pace: 1}, nil
 }
 
 // Counts implements held.Rank.
