--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -1,13 +1,16 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/standin/keyed"
 	"graniteknot.org/go/platform/platformtest"
 )
@@ -163,3 +166,38 @@
 		t.Errorf("largest body: %d", status)
 	}
 }
+
+// TestNoKeyInLogOrFigures looks for a caller's key in everything that a gateway
+// writes about requests that are served, refused and fail.
+func TestNoKeyInLogOrFigures(t *testing.T) {
+	const secret = "kfhc2nv8s3cret"
+	d := &deployment{store: &keyed.Store{}, keys: []string{secret}}
+	var out bytes.Buffer
+	lines := eventlog.NewWriter(&out)
+	r := newReplica(t, "i-1")
+	d.replica(r, false)
+	d.put()
+	b := startLogged(t, d.store, lines, func(c *directconf.Config) { c.Metrics = c.Readiness[:len(c.Readiness)-1] + "9" })
+	eventually(t, "served", func() bool { return b.ask("/once/x", secret).status == http.StatusOK })
+	b.ask("/none/", secret)
+	b.ask("/once/x", secret+"wrong")
+	d.keys = []string{"other"}
+	d.put()
+	eventually(t, "refused", func() bool { return b.ask("/once/x", secret).status == http.StatusUnauthorized })
+	figures := b.get("http://"+string(b.Config.Metrics)+"/metrics", "")
+	b.stop()
+	lines.Close(patience)
+	if strings.Contains(out.String(), secret) || strings.Contains(figures.body, secret) {
+		t.Error("a key was written")
+	}
+	for _, want := range []string{`"msg":"request"`, `"msg":"refused"`, `"reason":"unknown-key"`, `"reason":"no-route"`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no line with %s", want)
+		}
+	}
+	for _, want := range []string{"graniteknot_requests_total{", "graniteknot_refused_total{", "graniteknot_first_byte_seconds_bucket{", "graniteknot_store_calls_total{"} {
+		if !strings.Contains(figures.body, want) {
+			t.Errorf("no figure %s", want)
+		}
+	}
+}
--- a/internal/core/gateway/rig_test.go
+++ b/internal/core/gateway/rig_test.go
@@ -13,7 +13,9 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/gateway"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/standin/keyed"
 	"graniteknot.org/go/platform"
 	"graniteknot.org/go/platform/platformtest"
@@ -38,6 +40,11 @@
 }
 
 func start(t *testing.T, store graniteknot.KeyedStore, change func(*directconf.Config)) *box {
+	t.Helper()
+	return startLogged(t, store, nil, change)
+}
+
+func startLogged(t *testing.T, store graniteknot.KeyedStore, lines *eventlog.Writer, change func(*directconf.Config)) *box {
 	t.Helper()
 	ip := loopback()
 	c := &directconf.Config{
@@ -50,7 +57,14 @@
 	if change != nil {
 		change(c)
 	}
-	g := gateway.New(gateway.Parts{Config: c, Store: store, Translator: platform.Dialect{}, Born: graniteknot.Incarnation(boxes.Load())})
+	var log *eventlog.Log
+	if lines != nil {
+		log = eventlog.New(lines, c.Box, "gateway")
+	}
+	g := gateway.New(gateway.Parts{
+		Config: c, Store: store, Translator: platform.Dialect{}, Log: log, Lines: lines, Meter: meter.New(),
+		Born: graniteknot.Incarnation(boxes.Load()),
+	})
 	if err := g.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
