One way to wait, the keeper in files of one job; takeover asks silent boxes for less long

A keeper that takes over asked a frozen sidecar for 250 ms and its rank for 400 more before it went around them; 150 and 200 do, as others answer within some 10 ms.

--- a/internal/core/dev/day.go
+++ b/internal/core/dev/day.go
@@ -11,6 +11,7 @@
 	"graniteknot.org/go/internal/core/load"
 	"graniteknot.org/go/internal/core/mapkeeper"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/ranks"
 	"graniteknot.org/go/internal/wire"
@@ -78,7 +79,7 @@
 	operators.Go(func(context.Context) { c.stopOne(ctx, day, result) })
 	if day.Happens != nil {
 		operators.Go(func(context.Context) {
-			sleep(ctx, day.Length/2)
+			delay.For(ctx, day.Length/2)
 			day.Happens(ctx)
 		})
 	}
@@ -132,7 +133,7 @@
 func (c *Cluster) changeSettings(ctx context.Context, day Day, result *Result) {
 	const changes = 4
 	for i := range changes {
-		sleep(ctx, day.Length/(changes+1))
+		delay.For(ctx, day.Length/(changes+1))
 		p := c.Partners[i%len(c.Partners)]
 		text := fmt.Sprintf("[partner]\n%sdeadline = %ds\n", partnerWeights(p), 15+i)
 		answer, err := c.Publish(ctx, p, settings.Branch(p.Name), text)
@@ -159,7 +160,7 @@
 			continue
 		}
 		for p.Node.Store.Position().Offset < offset {
-			sleep(ctx, pause)
+			delay.For(ctx, pause)
 			if p.Stopped() {
 				break
 			}
@@ -173,7 +174,7 @@
 
 // stopOne stops the first entry in a planned way, in the middle of the day.
 func (c *Cluster) stopOne(ctx context.Context, day Day, result *Result) {
-	sleep(ctx, day.Length/3)
+	delay.For(ctx, day.Length/3)
 	begun := time.Now()
 	if err := c.Partners[0].Entries[0].Stop(ctx); err != nil {
 		result.Errs = append(result.Errs, err)
@@ -181,15 +182,6 @@
 	result.Stopped = time.Since(begun)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Print writes the table of a day.
 func (r *Result) Print(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%-16s %7s %9s %8s %8s %7s %5s %8s %9s %8s %9s %9s %9s\n", "partner", "sent", "answered",
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/group"
 )
 
@@ -115,19 +116,9 @@
 	g.every(lookPeriod, g.look)
 }
 
+// every calls step at a period until the gateway stops.
 func (g *Gateway) every(period time.Duration, step func()) {
-	g.group.Go(func(ctx context.Context) {
-		ticker := time.NewTicker(period)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				step()
-			}
-		}
-	})
+	g.group.Go(func(ctx context.Context) { delay.Every(ctx, period, func(context.Context) { step() }) })
 }
 
 func (g *Gateway) self() presence.Member {
--- a/internal/core/gateway/stop.go
+++ b/internal/core/gateway/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/delay"
 )
 
 const (
@@ -23,7 +24,7 @@
 	g.leaving.Store(true)
 	g.Log.Info("leaving", eventlog.Milliseconds("bound", g.bounds.Load().Stop))
 	g.hello()
-	wait(ctx, farewell)
+	delay.For(ctx, farewell)
 	bounded, cancel := context.WithDeadline(ctx, began.Add(g.bounds.Load().Stop-lastPart))
 	defer cancel()
 	g.servers.close(bounded)
@@ -32,12 +33,3 @@
 	g.Pool.Close()
 	g.Log.Info("stopped", eventlog.Milliseconds("took", time.Since(began)))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -12,6 +12,7 @@
 	"graniteknot.org/go/internal/core/procconf"
 	"graniteknot.org/go/internal/core/spread"
 	"graniteknot.org/go/internal/core/timeline"
+	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/member"
@@ -85,12 +86,12 @@
 	n.Timeline.Add(timeline.Event{Kind: timeline.KindStart, Detail: string(n.Config.Listen)})
 	n.join(ctx)
 	n.readLog(ctx)
-	n.group.Go(func(ctx context.Context) { every(ctx, settingsPeriod, n.settingsStep) })
-	n.group.Go(func(ctx context.Context) { every(ctx, lostPeriod, n.lostStep) })
-	n.group.Go(func(ctx context.Context) { every(ctx, snapshotPeriod, n.snapshotStep) })
+	n.group.Go(func(ctx context.Context) { delay.Every(ctx, settingsPeriod, n.settingsStep) })
+	n.group.Go(func(ctx context.Context) { delay.Every(ctx, lostPeriod, n.lostStep) })
+	n.group.Go(func(ctx context.Context) { delay.Every(ctx, snapshotPeriod, n.snapshotStep) })
 	n.group.Go(n.announce)
 	if n.boxes != nil {
-		n.group.Go(func(ctx context.Context) { every(ctx, boxesPeriod, n.boxesStep) })
+		n.group.Go(func(ctx context.Context) { delay.Every(ctx, boxesPeriod, n.boxesStep) })
 	}
 	klog.InfoS("started", "role", n.Config.Role, "box", n.Config.Box, "listen", n.Config.Listen,
 		"offset", n.Store.Position().Offset)
@@ -101,7 +102,7 @@
 
 // Every runs a role's step at a period until Stop.
 func (n *Node) Every(period time.Duration, step func(context.Context)) {
-	n.group.Go(func(ctx context.Context) { every(ctx, period, step) })
+	n.group.Go(func(ctx context.Context) { delay.Every(ctx, period, step) })
 }
 
 // Leave tells the peers that this process is going.
@@ -129,17 +130,3 @@
 	_, ok := l.addresses[a]
 	return ok
 }
-
-// every calls step at a period until ctx is done.
-func every(ctx context.Context, period time.Duration, step func(context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			step(ctx)
-		}
-	}
-}
--- a/internal/core/ranks/find.go
+++ b/internal/core/ranks/find.go
@@ -15,9 +15,9 @@
 const (
 	// findTime bounds the question to a sidecar which rank is its own. One that
 	// does not answer is gone around.
-	findTime = 250 * time.Millisecond
+	findTime = 150 * time.Millisecond
 	// reachTime bounds the same question to a rank from afar.
-	reachTime = 400 * time.Millisecond
+	reachTime = 200 * time.Millisecond
 )
 
 // Place is where a sidecar and its rank are.
--- /dev/null
+++ b/internal/core/ranks/look.go
@@ -0,0 +1,88 @@
+package ranks
+
+import (
+	"context"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/wire"
+)
+
+// look reads all ranks, and returns what is known of them after a short wait;
+// false when too little is.
+func (k *Keeper) look(ctx context.Context, r *wire.LookRequest, now time.Time) (looks []seen, whole bool) {
+	w := newWaiter(len(k.Members))
+	for _, m := range k.Members {
+		m.look(r, now, w.done)
+	}
+	w.wait(ctx, roundWait)
+	looks = make([]seen, len(k.Members))
+	for i, m := range k.Members {
+		last, at := m.shown()
+		if time.Since(at) > lookAge {
+			return nil, false
+		}
+		looks[i] = last
+	}
+	return looks, true
+}
+
+// otherFence returns the highest fence of another keeper that any rank told.
+func (k *Keeper) otherFence() graniteknot.Position {
+	var highest graniteknot.Position
+	for _, m := range k.Members {
+		highest = max(highest, m.otherFence())
+	}
+	return highest
+}
+
+// home is the rank that holds: the one after the keeper's own.
+func (k *Keeper) home() graniteknot.Rank {
+	return (k.Own + 1) % graniteknot.Rank(len(k.Members))
+}
+
+// without goes on while some rank can't be read. If it is the former keeper's
+// alone, the step that it held may begin.
+func (k *Keeper) without(ctx context.Context, now time.Time) time.Duration {
+	states := make([]held.State, len(k.Members))
+	var orders []held.Order
+	for i, m := range k.Members {
+		last, at := m.shown()
+		states[i] = last.state
+		if graniteknot.Rank(i) == k.Former {
+			continue
+		}
+		if time.Since(at) > lookAge {
+			k.enter(held.PhaseClosed)
+			return idleRound
+		}
+		if !m.knowsFence() {
+			orders = append(orders, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(i), Step: held.Never, Epoch: last.state.Epoch})
+		}
+	}
+	if k.Former == k.Own {
+		k.enter(held.PhaseClosed)
+		return idleRound
+	}
+	if len(orders) > 0 {
+		k.give(ctx, orders, now)
+		return fastRound
+	}
+	d := held.DecideWithout(states, k.Former, k.wish)
+	k.wish.Freed = max(k.wish.Freed, d.Freed)
+	k.enter(d.Phase)
+	k.give(ctx, d.Orders, now)
+	return idleRound
+}
+
+// fences returns an order to each rank that does not know the keeper's fence.
+func (k *Keeper) fences(states []held.State) []held.Order {
+	var out []held.Order
+	for r, m := range k.Members {
+		if !m.knowsFence() {
+			out = append(out, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(r), Step: held.Never, Epoch: states[r].Epoch})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/ranks/plan.go
@@ -0,0 +1,122 @@
+package ranks
+
+import (
+	"log/slog"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/planner"
+)
+
+// learn takes in which map is in force; false when that can't be told yet, and
+// nothing can be planned.
+func (k *Keeper) learn(looks []seen, states []held.State) bool {
+	newest := states[0].Mapping
+	for _, s := range states {
+		if s.Epoch != states[0].Epoch || s.Mapping != newest {
+			// The group is forming, or passing from one map to the next; package
+			// held knows what that means.
+			return k.placement != nil
+		}
+	}
+	if k.placement != nil && states[0].Epoch == k.epoch && newest == k.mapping {
+		return true
+	}
+	switch {
+	case k.placement != nil && states[0].Epoch == k.epoch && newest == k.wish.Version && k.offered != nil:
+		k.placement = k.offered
+		k.Meter.Count("graniteknot_map_switches_total")
+	case newest == 0:
+		k.placement = planner.NewDealt(k.Planner.Shape)
+	case !listed(looks):
+		k.placement, k.offered, k.wish.Version = nil, nil, 0
+		return false
+	default:
+		k.placement = k.read(looks)
+	}
+	if states[0].Epoch != k.epoch {
+		k.wish.Freed = held.Never
+		k.window.forget()
+		if k.tally != nil {
+			k.tally.forget()
+		}
+	}
+	k.epoch, k.mapping = states[0].Epoch, newest
+	k.offered, k.wish = nil, held.Wish{Freed: k.wish.Freed}
+	clear(k.prepared)
+	return true
+}
+
+// listed tells whether every rank told what it holds.
+func listed(looks []seen) bool {
+	for i := range looks {
+		if len(looks[i].lists) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// read puts the map in force together from what the ranks hold.
+func (k *Keeper) read(looks []seen) *planner.Placement {
+	p := planner.NewDealt(k.Planner.Shape)
+	for r := range looks {
+		for l, experts := range looks[r].lists {
+			p.Set(graniteknot.Layer(l), graniteknot.Rank(r), experts)
+		}
+	}
+	return p
+}
+
+// observe takes in how often experts were chosen.
+func (k *Keeper) observe(looks []seen, now time.Time) {
+	k.counted = now
+	counts := make([][]uint64, len(looks))
+	for r := range looks {
+		counts[r] = looks[r].counts
+	}
+	k.window.add(now, counts)
+}
+
+// loads returns how often experts were chosen of late.
+func (k *Keeper) loads() (planner.Loads, bool) {
+	if k.tally != nil {
+		return k.tally.loads()
+	}
+	return k.window.loads()
+}
+
+// room is what one switch may load: as many experts a rank as take loadTime, one
+// at the least.
+func (k *Keeper) room() planner.Room {
+	e := k.Engine.Experts
+	perRank := 1
+	if e.Bandwidth > 0 && e.Size > 0 {
+		perRank = max(1, int(loadTime.Seconds()*e.Bandwidth/float64(e.Size)))
+	}
+	return planner.Room{PerLayer: e.Spare, PerRank: perRank}
+}
+
+// plan chooses the next map, if one is worth it and none is under way.
+func (k *Keeper) plan() {
+	if k.wish.Version != 0 || k.placement == nil {
+		return
+	}
+	loads, ok := k.loads()
+	if !ok {
+		return
+	}
+	k.Planner.Observe(loads)
+	if !k.fixed {
+		k.Planner.Threshold = threshold(k.pace.pass, k.Gap) * relativeCost(k.Engine.Experts, len(k.Members))
+	}
+	next := k.Planner.PlanNext(k.placement, k.room())
+	if next.Moves == 0 {
+		return
+	}
+	k.offered, k.wish.Version = next.Placement, k.version()
+	k.Meter.Add("graniteknot_experts_loaded_total", next.Moves)
+	k.Log.Info("map planned", slog.Int64("map", int64(k.wish.Version)), slog.Int("moves", next.Moves),
+		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(k.epoch)))
+}
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -11,6 +11,7 @@
 	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/ranks"
+	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/planner"
 )
 
@@ -35,7 +36,7 @@
 	// opened is since when the group is seen to run; zero while it is not.
 	var opened time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, keepLook)
+		delay.For(ctx, keepLook)
 		now := time.Now()
 		report, age := s.last(now)
 		if report.Group == "" || age > reportAge || !report.State.Open {
@@ -85,7 +86,7 @@
 		return
 	}
 	// All others found the ranks at the same moment, when the last one answered.
-	sleep(ctx, time.Duration(report.Rank)*claimTurn)
+	delay.For(ctx, time.Duration(report.Rank)*claimTurn)
 	if !s.due(report.Rank, opened, time.Now()) {
 		// Another sidecar has become the keeper meanwhile.
 		return
@@ -147,12 +148,3 @@
 	}
 	return ranks.Find(ctx, report.Group, report.Size, former, places, s.Rank)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/delay"
 )
 
 const (
@@ -44,7 +45,7 @@
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			pause = f.failed(err)
 		}
-		sleep(ctx, pause)
+		delay.For(ctx, pause)
 	}
 }
 
@@ -102,15 +103,3 @@
 	f.retry = min(max(2*f.retry, firstRetry), longestRetry)
 	return f.retry/2 + time.Duration(rand.Int64N(int64(f.retry)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
