--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -120,7 +120,7 @@
 		ctx, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
 		if m.silent(now) {
-			m.lookDirect(ctx, now)
+			m.lookDirect(ctx, r.GetLists(), now)
 			return
 		}
 		reply, err := m.doer.Look(ctx, r)
@@ -137,12 +137,21 @@
 	return m.direct != nil && now.Sub(m.heard) > sidecarPatience
 }
 
-func (m *Member) lookDirect(ctx context.Context, began time.Time) {
+// lookDirect reads the rank from afar, with what it holds of the map in force if
+// that is not known yet. Counts from afar would cost too much.
+func (m *Member) lookDirect(ctx context.Context, lists bool, began time.Time) {
 	m.calls.Go(func(ctx context.Context) { m.ping(ctx) })
 	report, err := m.direct.Report(ctx)
-	if err == nil {
-		m.store(seen{state: report.State}, began.Add(-directLag))
+	if err != nil {
+		return
+	}
+	s := seen{state: report.State}
+	if lists {
+		if s.lists, err = m.direct.Lists(ctx); err != nil {
+			return
+		}
 	}
+	m.store(s, began.Add(-directLag))
 }
 
 // ping finds out whether a silent sidecar answers again.
