--- a/catalog/tree.go
+++ b/catalog/tree.go
@@ -90,9 +90,6 @@
 	return nil
 }
 
-// HasHost tells whether any route belongs to the host.
-func (t *Tree) HasHost(host string) bool { return len(t.routes[strings.ToLower(host)]) > 0 }
-
 // Service finds a service; nil when there is none.
 func (t *Tree) Service(name graniteknot.Service) *Service { return t.services[name] }
 
--- a/internal/core/conns/conn.go
+++ b/internal/core/conns/conn.go
@@ -31,9 +31,7 @@
 	idleSince time.Time
 	// spoiled connections are not used again.
 	spoiled bool
-	// fresh tells that no request was sent on the connection yet.
-	fresh  bool
-	writer group.Group
+	writer  group.Group
 }
 
 // Call is one request as it goes out.
@@ -52,7 +50,6 @@
 // Do sends a request and reads the head of its answer. The body must be read,
 // and the connection given back, by the caller.
 func (c *Conn) Do(call *Call) (*http.Response, error) {
-	c.fresh = false
 	if err := c.send(call); err != nil {
 		return nil, err
 	}
--- a/internal/core/conns/pool.go
+++ b/internal/core/conns/pool.go
@@ -120,7 +120,7 @@
 		p.forget(a)
 		return nil, &Error{Op: "connect", Kind: KindUnsent, Err: err}
 	}
-	return &Conn{net: conn, reader: bufio.NewReaderSize(conn, readBuffer), fresh: true}, nil
+	return &Conn{net: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
 }
 
 // Put gives a connection back after its answer was read to the end.
--- a/internal/core/directconf/config.go
+++ b/internal/core/directconf/config.go
@@ -50,14 +50,11 @@
 	// AnswerLife is the longest time that callers keep an address answer.
 	AnswerLife time.Duration
 	// RetryPercent is how many retries a hundred requests to a service allow,
-	// RetryExtra how many more in each RetryWindow, over all gateways.
+	// RetryExtra how many more in the time that the budget is counted in, over all gateways.
 	RetryPercent float64
 	RetryExtra   float64
-	RetryWindow  time.Duration
 	// FencesChecked tells that ranks refuse orders of former keepers.
 	FencesChecked bool
-	// Stall is how long a lock-step group stands still for a lost rank.
-	Stall time.Duration
 }
 
 // Load reads a file. All faults are reported at once.
@@ -86,6 +83,6 @@
 func defaults() *Config {
 	return &Config{
 		KeyAge: 5 * time.Second, Drain: 2 * time.Second, Stop: 8 * time.Second, AnswerLife: 5 * time.Second,
-		RetryPercent: 20, RetryExtra: 50, RetryWindow: 10 * time.Second, Stall: 1500 * time.Millisecond,
+		RetryPercent: 20, RetryExtra: 50,
 	}
 }
--- a/internal/core/directconf/config_test.go
+++ b/internal/core/directconf/config_test.go
@@ -28,7 +28,6 @@
 [retries]
 share = 0.2
 extra = 90
-window = 10s
 `
 
 func TestWholeFile(t *testing.T) {
@@ -73,7 +72,7 @@
 		"{{listen_addrs.readiness}}", "127.0.0.1:4", "{{listen_addrs.registry}}", "127.0.0.1:5", "{{platform.address}}", "127.0.0.1:6",
 		"{{app}}", "127.0.0.1:7", "{{limits.memory_mb}}", "100", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_min_extra}}", "90",
 		"{{bounds.grace_period_s}}", "8", "{{bounds.revoke_timeout_ms}}", "5000", "{{bounds.drain_timeout_ms}}", "2000",
-		"{{bounds.ttl_max_s}}", "5", "{{bounds.fencing_enforced}}", "true", "{{bounds.stall_ms}}", "1500", "{{bounds.retry_window_s}}", "10",
+		"{{bounds.ttl_max_s}}", "5", "{{bounds.fencing_enforced}}", "true",
 		"{{node_name}}", "n", "{{zone}}", "z", "{{region}}", "r", "{{backend}}", "b",
 	)
 	for _, name := range []string{"gateway", "sidecar"} {
--- a/internal/core/directconf/parser.go
+++ b/internal/core/directconf/parser.go
@@ -41,10 +41,8 @@
 	"bounds.drain":          func(c *Config, v string) string { return setDuration(&c.Drain, v) },
 	"bounds.answer_life":    func(c *Config, v string) string { return setDuration(&c.AnswerLife, v) },
 	"bounds.fences_checked": setFences,
-	"bounds.stall":          func(c *Config, v string) string { return setDuration(&c.Stall, v) },
 	"retries.share":         setShare,
 	"retries.extra":         setExtra,
-	"retries.window":        func(c *Config, v string) string { return setDuration(&c.RetryWindow, v) },
 }
 
 func (p *parser) section(s *inifile.Section) {
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -142,18 +142,6 @@
 	return out
 }
 
-// Find returns a replica's record by its address.
-func (t *Table) Find(a graniteknot.Address) (catalog.Replica, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, x := range t.targets {
-		if x.replica.Address == a && !x.replica.Draining {
-			return x.replica, true
-		}
-	}
-	return catalog.Replica{}, false
-}
-
 // Report takes the report of the replica at an address.
 func (t *Table) Report(a graniteknot.Address, l Load) {
 	t.mu.Lock()
--- a/internal/core/forward/dialect.go
+++ b/internal/core/forward/dialect.go
@@ -28,8 +28,6 @@
 	NotRun bool
 	// Elsewhere tells that another replica has the address; it implies NotRun.
 	Elsewhere bool
-	// Blamed is the replica that the answer blames; empty for none.
-	Blamed string
 	// Again is when to come back; 0 when the answer does not say.
 	Again time.Duration
 }
--- a/internal/core/gateway/rig_test.go
+++ b/internal/core/gateway/rig_test.go
@@ -52,7 +52,7 @@
 		Requests: graniteknot.Address(ip + ":18001"), Readiness: graniteknot.Address(ip + ":18002"),
 		Directory: graniteknot.Address(ip + ":18003"), Peers: graniteknot.Address(ip + ":18004"),
 		KeyAge: 5 * time.Second, Drain: 2 * time.Second, Stop: 10 * time.Second, AnswerLife: 5 * time.Second,
-		RetryPercent: 20, RetryExtra: 90, RetryWindow: 10 * time.Second,
+		RetryPercent: 20, RetryExtra: 90,
 	}
 	if change != nil {
 		change(c)
--- a/internal/core/gateway/servers.go
+++ b/internal/core/gateway/servers.go
@@ -38,7 +38,7 @@
 
 // requests begins to take callers' connections.
 func (s *servers) requests(ctx context.Context, a graniteknot.Address, h http.Handler) error {
-	listener, err := s.open1(ctx, a)
+	listener, err := s.listen(ctx, a)
 	if err != nil {
 		return err
 	}
@@ -50,7 +50,7 @@
 	return nil
 }
 
-func (s *servers) open1(ctx context.Context, a graniteknot.Address) (net.Listener, error) {
+func (s *servers) listen(ctx context.Context, a graniteknot.Address) (net.Listener, error) {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp4", string(a))
 	if err != nil {
@@ -101,7 +101,7 @@
 
 // plain serves a handler at an address.
 func (s *servers) plain(ctx context.Context, a graniteknot.Address, h http.Handler) error {
-	listener, err := s.open1(ctx, a)
+	listener, err := s.listen(ctx, a)
 	if err != nil {
 		return err
 	}
