After a failed call the next read of a topic does not wait

A read that waits for 1.5 s is given up after 2.7 s; one that began just before the store's return hung for that long, and with the pause after it the change came 3.4 s late. A read after a failed call now asks without a wait (1.2 s). Ruled out: the answers were not old (all gateways that read had version 24 at once).

--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -62,7 +62,7 @@
 		f.Newest(page.Records, began)
 		return nil
 	}
-	page, err := f.Store.Read(ctx, f.Topic, f.from, f.Wait)
+	page, err := f.Store.Read(ctx, f.Topic, f.from, f.wait())
 	if errors.Is(err, graniteknot.ErrTrimmed) {
 		f.good()
 		f.synced = false
@@ -83,6 +83,17 @@
 	return nil
 }
 
+// wait is how long a read waits for a record. After a failed call it does not
+// wait: a call to a store that is away is given up after its own time and the
+// wait, and one that began just before the store's return would be missing for
+// that long.
+func (f *Follower) wait() time.Duration {
+	if f.retry > 0 {
+		return 0
+	}
+	return f.Wait
+}
+
 func (f *Follower) good() {
 	f.retry = 0
 	f.Health.Good(time.Now())
--- a/internal/core/watch/follower_test.go
+++ b/internal/core/watch/follower_test.go
@@ -155,3 +155,25 @@
 		t.Error("a new call did not")
 	}
 }
+
+// TestFollowerIsSoonBack sees a change soon after the store's return, whenever
+// in its calls the store came back: a call that hangs from before does not count.
+func TestFollowerIsSoonBack(t *testing.T) {
+	const bound = 2500 * time.Millisecond
+	for away := 5 * time.Second; away < 9*time.Second; away += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			store := &keyed.Store{}
+			f := follow(store, 1500*time.Millisecond)
+			defer f.run.Stop()
+			time.Sleep(3 * time.Second)
+			store.Set(keyed.FaultSilent)
+			time.Sleep(away)
+			store.Set(keyed.FaultNone)
+			store.Put("t", "a", []byte("1"))
+			time.Sleep(bound)
+			if f.value("a") != "1" {
+				t.Errorf("after %v away, a change was not seen within %v", away, bound)
+			}
+		})
+	}
+}
--- a/internal/standin/keyed/store.go
+++ b/internal/standin/keyed/store.go
@@ -133,8 +133,11 @@
 }
 
 // ask begins a call that changes nothing.
-func (s *Store) ask(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+func (s *Store) ask(ctx context.Context) error { return s.askFor(ctx, callTime) }
+
+// askFor begins a call that its caller gives up after a time.
+func (s *Store) askFor(ctx context.Context, bound time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	fault, err := s.begin(ctx)
 	if err != nil || fault != FaultLose {
@@ -149,7 +152,7 @@
 
 // Read implements graniteknot.KeyedStore.
 func (s *Store) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
-	if err := s.ask(ctx); err != nil {
+	if err := s.askFor(ctx, callTime+wait); err != nil {
 		return graniteknot.KeyedPage{}, err
 	}
 	timer := time.NewTimer(wait)
