A replica that is cut off gets no more requests, and those at it are made elsewhere

Cause: while the box of a target freezes or is cut off, its lock-step group runs on and the other ranks answer, but nothing comes from this one. Gateways went on sending it a twelfth of the requests, because a caller that leaves after two seconds without an event says nothing of the replica, and connections to it do not break.

Change: a replica with a sidecar is silent when neither digests nor parts of answers came from it for 650 ms while others of its service were heard. It gets one trial a second; streams and repeatable requests at it are broken off and made elsewhere, within their attempts and the retry budget.

--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -54,12 +54,36 @@
 	begun  bool
 	trial  bool
 	ended  bool
+	// risked requests find out whether a silent replica works.
+	risked bool
+	// move breaks the attempt off, so that it is made elsewhere; nil where that
+	// may not be.
+	move func()
 }
 
-// Begun notes the first byte of the answer.
-func (l *Lease) Begun(now time.Time) {
+// OnSilence gives what breaks the attempt off when the replica falls silent.
+func (l *Lease) OnSilence(move func()) {
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
+	l.move = move
+}
+
+// Move breaks the attempt off.
+func (l *Lease) Move() {
+	l.table.mu.Lock()
+	move := l.move
+	l.move = nil
+	l.table.mu.Unlock()
+	if move != nil {
+		move()
+	}
+}
+
+// Heard notes a part of the answer.
+func (l *Lease) Heard(now time.Time) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	l.target.heard = now
 	if l.begun {
 		return
 	}
@@ -79,7 +103,7 @@
 	if l.ended {
 		return
 	}
-	l.ended = true
+	l.ended, l.move = true, nil
 	defer l.table.serve(l.Replica.Service, now)
 	t := l.target
 	delete(t.own, l)
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -59,6 +59,9 @@
 	if x.failures >= patience {
 		l.trial, x.trial = true, true
 	}
+	if x.cutOff {
+		l.risked, x.risked = true, q.Now
+	}
 	x.own[l] = struct{}{}
 	return l
 }
--- /dev/null
+++ b/internal/core/fleet/silence.go
@@ -0,0 +1,94 @@
+package fleet
+
+import (
+	"time"
+
+	"graniteknot.org/go/catalog"
+)
+
+const (
+	// silentAfter is how long neither a replica nor its sidecar may be heard
+	// before the replica is taken to be cut off. It is five digests of a sidecar,
+	// some of which may be lost, and less than callers wait for an event.
+	silentAfter = 650 * time.Millisecond
+	// othersHeard is how long ago another replica of the service was heard at
+	// most. When none was, it is this process that is cut off or stood still.
+	othersHeard = 300 * time.Millisecond
+	// silentTrial is the time between two requests that find out whether a
+	// silent replica works: it may be the sidecar alone that is gone.
+	silentTrial = time.Second
+)
+
+// Silence tells that a replica fell silent, or was heard again.
+type Silence struct {
+	Replica catalog.ReplicaID
+	Silent  bool
+	// Unheard is how long ago the last sign of life was.
+	Unheard time.Duration
+}
+
+// Watch tells which replicas fell silent, or were heard again, since the last
+// call, and returns the own requests at silent ones that may be moved. Call
+// Move on these.
+func (t *Table) Watch(now time.Time) (changed []Silence, stuck []*Lease) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, list := range t.services {
+		last := newest(list)
+		for _, x := range list {
+			silent := x.silent(last, now)
+			if silent != x.cutOff {
+				x.cutOff = silent
+				changed = append(changed, Silence{Replica: x.replica.ID, Silent: silent, Unheard: now.Sub(x.life())})
+			}
+			if silent {
+				stuck = append(stuck, x.stuck(now)...)
+			}
+		}
+	}
+	return changed, stuck
+}
+
+// stuck returns the own requests at a silent target that may be moved. Those
+// that were sent to find out whether it works get the time to show it.
+func (t *target) stuck(now time.Time) []*Lease {
+	var out []*Lease
+	for l := range t.own {
+		if l.move != nil && (!l.risked || now.Sub(l.sent) > silentAfter) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// life is the last sign of life of a replica that has a sidecar; zero for one
+// that has none, of which silence says nothing.
+func (t *target) life() time.Time {
+	if t.load.Taken.IsZero() || t.load.Taken.After(t.heard) {
+		return t.load.Taken
+	}
+	return t.heard
+}
+
+// silent tells whether a replica is cut off: it was not heard for too long while
+// others of its service were, of which newest is the last sign of life.
+func (t *target) silent(newest, now time.Time) bool {
+	life := t.life()
+	return !life.IsZero() && now.Sub(life) > silentAfter && now.Sub(newest) < othersHeard
+}
+
+// spared tells whether a silent target gets no request now.
+func (t *target) spared(now time.Time) bool {
+	return t.cutOff && now.Sub(t.life()) > silentAfter && (len(t.own) > 0 || now.Sub(t.risked) < silentTrial)
+}
+
+// newest returns the last sign of life of all targets in a list.
+func newest(list []*target) time.Time {
+	var out time.Time
+	for _, x := range list {
+		if life := x.life(); life.After(out) {
+			out = life
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/fleet/silence_test.go
@@ -0,0 +1,101 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// acquireAt returns a lease that is to be had at once, or nil.
+func acquireAt(t *testing.T, table *fleet.Table, now time.Time) *fleet.Lease {
+	t.Helper()
+	return table.Acquire(t.Context(), &fleet.Query{Service: engine, Now: now}, fleet.Waiting{Aim: now, Last: now})
+}
+
+// TestSilentReplicaGetsNothing keeps requests from a replica that neither its
+// sidecar nor its own answers show to be reachable, and has those moved that are
+// there.
+func TestSilentReplicaGetsNothing(t *testing.T) {
+	table := with("a", "b")
+	now := time.Now()
+	table.Report("a", fleet.Load{Taken: now})
+	table.Report("b", fleet.Load{Taken: now, Running: 3})
+	stuck := acquireAt(t, table, now)
+	if stuck == nil || stuck.Replica.ID != "a" {
+		t.Fatal("the idle one was not chosen")
+	}
+	moved := false
+	stuck.OnSilence(func() { moved = true })
+	now = now.Add(time.Second)
+	table.Report("b", fleet.Load{Taken: now, Running: 3})
+	changed, found := table.Watch(now)
+	if len(changed) != 1 || changed[0].Replica != "a" || !changed[0].Silent || len(found) != 1 {
+		t.Fatalf("%+v, %d to be moved", changed, len(found))
+	}
+	found[0].Move()
+	if !moved {
+		t.Error("the request was not moved")
+	}
+	if l := acquireAt(t, table, now); l == nil || l.Replica.ID != "b" {
+		t.Error("a silent replica was chosen")
+	}
+	// Its sidecar is heard again.
+	stuck.End(fleet.VerdictNone, now)
+	table.Report("a", fleet.Load{Taken: now})
+	if changed, _ := table.Watch(now); len(changed) != 1 || changed[0].Silent {
+		t.Errorf("%+v after a report", changed)
+	}
+	if l := acquireAt(t, table, now); l == nil || l.Replica.ID != "a" {
+		t.Error("a replica that is heard again was not chosen")
+	}
+}
+
+// TestAnswersAreSignsOfLife keeps a replica in use whose sidecar alone is gone,
+// and tries one now and then that nobody hears of.
+func TestAnswersAreSignsOfLife(t *testing.T) {
+	table := with("a", "b")
+	now := time.Now()
+	table.Report("a", fleet.Load{Taken: now})
+	table.Report("b", fleet.Load{Taken: now, Running: 3})
+	l := acquireAt(t, table, now)
+	now = now.Add(time.Second)
+	l.Heard(now)
+	table.Report("b", fleet.Load{Taken: now, Running: 3})
+	if changed, _ := table.Watch(now); len(changed) != 0 {
+		t.Fatalf("%+v of a replica that answers", changed)
+	}
+	l.End(fleet.VerdictGood, now)
+	silentFor := 0
+	trials := 0
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		table.Report("b", fleet.Load{Taken: now, Running: 3})
+		table.Watch(now)
+		if silentFor++; silentFor <= 7 {
+			continue
+		}
+		got := acquireAt(t, table, now)
+		if got.Replica.ID == "a" {
+			trials++
+		}
+		got.End(fleet.VerdictNone, now)
+	}
+	if trials < 2 || trials > 6 {
+		t.Errorf("a silent replica was tried %d times in over four seconds", trials)
+	}
+}
+
+// TestOwnSilenceTellsNothing blames no replica when none is heard: then it is
+// this process that is cut off or stood still.
+func TestOwnSilenceTellsNothing(t *testing.T) {
+	table := with("a", "b")
+	now := time.Now()
+	for _, id := range []catalog.ReplicaID{"a", "b"} {
+		table.Report(replica(id).Address, fleet.Load{Taken: now})
+	}
+	if changed, _ := table.Watch(now.Add(time.Minute)); len(changed) != 0 {
+		t.Errorf("%+v", changed)
+	}
+}
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -34,6 +34,12 @@
 
 	// own are this process's requests at the replica.
 	own map[*Lease]struct{}
+	// heard is when the replica last gave this process a part of an answer.
+	heard time.Time
+	// cutOff tells that the last look found the replica silent; risked is when a
+	// request was last sent to find out whether it still is.
+	cutOff bool
+	risked time.Time
 	// load is the last report; its Taken is zero before the first.
 	load Load
 
@@ -49,8 +55,12 @@
 
 // takes tells whether an engine may get requests now. One whose group does not
 // run would refuse them, which uses up the retry budget.
-// Neither may a new one whose sidecar has not told yet whether it does.
+// Neither may a new one whose sidecar has not told yet whether it does, nor one
+// that is cut off.
 func (t *target) takes(now time.Time) bool {
+	if t.spared(now) {
+		return false
+	}
 	if t.load.Taken.IsZero() {
 		return t.usable(now) && now.Sub(t.registered) >= firstReport
 	}
--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -29,9 +29,14 @@
 		return r.unsent(err)
 	}
 	stop := context.AfterFunc(r.ctx, conn.Abort)
+	r.move = &mover{conn: conn}
+	if r.movable() {
+		l.OnSilence(r.moveIfAllowed)
+	}
 	whole := false
 	defer func() {
-		if stop() && whole {
+		moved := r.move.end()
+		if stop() && whole && !moved {
 			f.Pool.Put(l.Replica.Address, conn)
 			return
 		}
@@ -87,6 +92,9 @@
 		r.giveUp(r.stopReason())
 		return stepDone, fleet.VerdictNone, r.result.Reason
 	}
+	if r.move.end() {
+		return stepAgain, fleet.VerdictNone, ReasonSilent
+	}
 	if e != nil && e.Kind == conns.KindSpoiled {
 		return stepAgain, fleet.VerdictBad, ReasonSpoiled
 	}
@@ -101,7 +109,7 @@
 		return stepAgain, r.refusal(&marks), ReasonRefused, err == nil
 	}
 	r.mayHaveRun = true
-	l.Begun(time.Now())
+	l.Heard(time.Now())
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBody+1))
 	if err != nil || len(body) > maxBody {
 		next, v, why = r.failed(&conns.Error{Op: "read answer", Kind: conns.KindLost, Err: err})
--- a/internal/core/forward/budgets.go
+++ b/internal/core/forward/budgets.go
@@ -22,6 +22,9 @@
 // First notes a first attempt.
 func (b *Budgets) First(s graniteknot.Service) { b.of(s).First() }
 
+// Left tells whether a retry would be allowed now.
+func (b *Budgets) Left(s graniteknot.Service) bool { return b.of(s).Left() }
+
 // Spend asks for one retry.
 func (b *Budgets) Spend(s graniteknot.Service) bool { return b.of(s).Spend() }
 
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -9,6 +9,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/forward"
 	"graniteknot.org/go/platform/platformtest"
 )
@@ -224,3 +225,42 @@
 	cancel()
 	<-first
 }
+
+// TestStreamMovesFromASilentReplica makes an attempt elsewhere whose replica is
+// cut off, at the next event; without another attempt left it stays.
+func TestStreamMovesFromASilentReplica(t *testing.T) {
+	for _, attempts := range []int{2, 1} {
+		stuck := make(chan struct{})
+		silent := func(x *platformtest.Exchange) {
+			x.Run()
+			x.Head(http.StatusOK, -1, platformtest.Seal, "Content-Type: text/event-stream")
+			x.Write(platformtest.Event(1, "token"))
+			close(stuck)
+			x.WaitClosed()
+		}
+		r := newRig(t, catalog.KindStream, silent, platformtest.Stream(3, true))
+		r.route.Attempts = attempts
+		now := time.Now()
+		for _, replica := range r.replicas {
+			r.forward.Fleet.Report(replica.Address(), fleet.Load{Taken: now})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		all.Go(func() {
+			<-stuck
+			later := time.Now().Add(time.Minute)
+			r.forward.Fleet.Report(r.replicas[1].Address(), fleet.Load{Taken: later})
+			if _, found := r.forward.Fleet.Watch(later); len(found) == 1 {
+				found[0].Move()
+				return
+			}
+			cancel()
+		})
+		result := r.do(ctx)
+		all.Wait()
+		cancel()
+		if moved := result.Outcome == graniteknot.OutcomeAnswered; moved != (attempts == 2) || r.ran() != attempts {
+			t.Errorf("%d attempts: %+v, %d runs", attempts, result, r.ran())
+		}
+	}
+}
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -66,6 +66,8 @@
 	mayHaveRun bool
 	// after is the last event that the caller has.
 	after EventID
+	// move breaks the present attempt off; nil before the first.
+	move *mover
 	// lastPart is when the last part was passed on; zero before the first.
 	lastPart time.Time
 	// spare is a replica's own failure, given when nothing better comes.
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -30,6 +30,8 @@
 	ReasonTimeout Reason = "timeout"
 	// ReasonCallerGone is a caller that left.
 	ReasonCallerGone Reason = "caller-gone"
+	// ReasonSilent is a replica that was cut off, whose request was moved.
+	ReasonSilent Reason = "replica-silent"
 	// ReasonBudget is an empty retry budget.
 	ReasonBudget Reason = "retry-budget"
 )
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -23,6 +23,8 @@
 	// doubtTime is how long after an outage of the store a vanished record is
 	// not taken for the replica's end.
 	doubtTime = 2500 * time.Millisecond
+	// silencePeriod is how often silent replicas are looked for.
+	silencePeriod = 100 * time.Millisecond
 	// lookPeriod is how often lapsed records and the tree's age are looked at.
 	lookPeriod = 250 * time.Millisecond
 )
@@ -139,3 +141,15 @@
 		g.Log.Warn("configuration age", slog.Bool("stale", stale), slog.Int64("version", int64(tree.Version)), eventlog.Milliseconds("age", age))
 	}
 }
+
+// watchSilence moves requests away from replicas that are cut off.
+func (g *Gateway) watchSilence() {
+	changed, stuck := g.Fleet.Watch(time.Now())
+	for _, c := range changed {
+		g.Log.Warn("replica silent", slog.String("replica", string(c.Replica)), slog.Bool("silent", c.Silent),
+			eventlog.Milliseconds("unheard", c.Unheard), slog.Int("stuck", len(stuck)))
+	}
+	for _, l := range stuck {
+		l.Move()
+	}
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -114,6 +114,7 @@
 	g.every(presence.Period, g.hello)
 	g.every(sweepPeriod, g.Pool.Sweep)
 	g.every(lookPeriod, g.look)
+	g.every(silencePeriod, g.watchSilence)
 }
 
 // every calls step at a period until the gateway stops.
--- a/internal/core/retry/budget.go
+++ b/internal/core/retry/budget.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// Left tells whether a retry would be allowed now.
+func (b *Budget) Left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.start()
+	return b.Unlimited || b.held >= 1
+}
+
 // Spend asks for one retry.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
