Maps take the load off ranks that tell they are slow

Cause: all ranks of a group wait for the slowest in each pass.

Change: the planner weighs each rank's load by its pace, may take a replica out of a slow rank without another in its place, and loads for as long as one pass (400 ms at most) where passes are long.

--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -40,6 +40,10 @@
 	// one expert. Loading takes most of a switch; in the same replays, where one
 	// expert takes 98 ms, one left a skew of 1.60, three 1.71, twelve 2.10.
 	loadTime = 100 * time.Millisecond
+	// longestLoad bounds that time where passes are long. Interests move on
+	// meanwhile, but a rank that is many times slower than the others has to be
+	// emptied in few switches.
+	longestLoad = 400 * time.Millisecond
 	// tallyRound is the least time between two readings of a large group's sums.
 	tallyRound = 200 * time.Millisecond
 	// rankTime is added to each pause for each rank: what a look at one takes of
@@ -98,6 +102,9 @@
 	// tally reads the counts of a large group; nil for a small one.
 	tally *tally
 	pace  pace
+	// paces is how many times slower than the fastest each rank is; nil when none
+	// is slow.
+	paces []float64
 	// fixed tells that the planner's threshold was set from outside.
 	fixed bool
 	// phase is the last decision's; since is when it began.
@@ -172,6 +179,7 @@
 		k.give(ctx, orders, now)
 		return fastRound, 0
 	}
+	k.slow(looks)
 	known := k.learn(looks, states)
 	if count {
 		k.observe(looks, now)
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -73,6 +73,8 @@
 	state  held.State
 	counts []uint64
 	lists  [][]graniteknot.Expert
+	// pace above 1 is a slow rank; 0 is unknown.
+	pace float64
 }
 
 // NewMember returns a rank that is reached through its sidecar's calls and, when
@@ -145,7 +147,7 @@
 	if err != nil {
 		return
 	}
-	s := seen{state: report.State}
+	s := seen{state: report.State, pace: report.Pace}
 	if lists {
 		if s.lists, err = m.direct.Lists(ctx); err != nil {
 			return
@@ -171,7 +173,7 @@
 	m.fenced = max(m.fenced, graniteknot.Position(reply.GetFenced()))
 	m.mu.Unlock()
 	if reply.GetFenced() == 0 {
-		m.store(seen{state: stateOf(reply.GetState()), counts: reply.GetCounts(), lists: listsOf(reply.GetLists())}, began)
+		m.store(seen{state: stateOf(reply.GetState()), counts: reply.GetCounts(), lists: listsOf(reply.GetLists()), pace: reply.GetPace()}, began)
 	}
 }
 
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -88,12 +88,14 @@
 }
 
 // room is what one switch may load: as many experts a rank as take loadTime, one
-// at the least.
+// at the least. Where passes take longer than that, loading as long as one pass
+// costs no more.
 func (k *Keeper) room() planner.Room {
 	e := k.Engine.Experts
 	perRank := 1
 	if e.Bandwidth > 0 && e.Size > 0 {
-		perRank = max(1, int(loadTime.Seconds()*e.Bandwidth/float64(e.Size)))
+		long := min(max(loadTime, k.pace.pass), longestLoad)
+		perRank = max(1, int(long.Seconds()*e.Bandwidth/float64(e.Size)))
 	}
 	return planner.Room{PerLayer: e.Spare, PerRank: perRank}
 }
@@ -111,12 +113,13 @@
 	if !k.fixed {
 		k.Planner.Threshold = threshold(k.pace.pass, k.Gap) * relativeCost(k.Engine.Experts, len(k.Members))
 	}
+	k.Planner.Paces = k.paces
 	next := k.Planner.PlanNext(k.placement, k.room())
-	if next.Moves == 0 {
+	if next.Moves+next.Drops == 0 {
 		return
 	}
 	k.offered, k.wish.Version = next.Placement, k.version()
 	k.Meter.Add("graniteknot_experts_loaded_total", next.Moves)
-	k.Log.Info("map planned", slog.Int64("map", int64(k.wish.Version)), slog.Int("moves", next.Moves),
+	k.Log.Info("map planned", slog.Int64("map", int64(k.wish.Version)), slog.Int("moves", next.Moves), slog.Int("drops", next.Drops),
 		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(k.epoch)))
 }
--- a/internal/standin/obeying/group.go
+++ b/internal/standin/obeying/group.go
@@ -51,13 +51,15 @@
 	counts        []uint64
 	// Deaf ranks answer nothing.
 	deaf bool
+	// pace above 1 is a slow rank.
+	pace float64
 }
 
 // New returns a group under the map that groups open with.
 func New(s planner.Shape, seed uint64) *Group {
 	g := &Group{Shape: s, random: rand.New(rand.NewPCG(seed, seed)), epoch: 1, liked: planner.NewLoads(s)}
 	for r := range s.Ranks {
-		g.ranks = append(g.ranks, &Rank{group: g, number: graniteknot.Rank(r), counts: make([]uint64, s.Layers*s.Experts)})
+		g.ranks = append(g.ranks, &Rank{group: g, number: graniteknot.Rank(r), counts: make([]uint64, s.Layers*s.Experts), pace: 1})
 	}
 	g.open()
 	return g
@@ -98,6 +100,13 @@
 	g.ranks[r].deaf = deaf
 }
 
+// Slow makes a rank tell that it is so many times slower than it should be.
+func (g *Group) Slow(r graniteknot.Rank, times float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ranks[r].pace = times
+}
+
 // Run begins a pass at each period until ctx is done.
 func (g *Group) Run(ctx context.Context, period time.Duration) {
 	ticker := time.NewTicker(period)
@@ -165,6 +174,8 @@
 	Held bool
 	// Skew is that of what is liked, under the map in force.
 	Skew float64
+	// Experts is how many experts each rank holds, over all sets.
+	Experts []int
 }
 
 // Show returns what the group shows.
@@ -176,9 +187,12 @@
 	for _, r := range g.ranks {
 		out.Mappings = append(out.Mappings, r.state.Mapping)
 		out.Held = out.Held || r.state.Held != held.Never
+		held := 0
 		for l, experts := range r.now {
 			p.Set(graniteknot.Layer(l), r.number, experts)
+			held += len(experts)
 		}
+		out.Experts = append(out.Experts, held)
 	}
 	out.Skew = p.Skew(g.liked)
 	return out
--- a/internal/standin/obeying/rank.go
+++ b/internal/standin/obeying/rank.go
@@ -20,7 +20,7 @@
 	if r.deaf {
 		return held.Report{}, errDeaf
 	}
-	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Running: 1, Pace: 1}, nil
+	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Running: 1, Pace: r.pace}, nil
 }
 
 // Counts implements held.Rank.
--- a/planner/bound.go
+++ b/planner/bound.go
@@ -26,11 +26,11 @@
 	return contains(b.before[r*b.slots:(r+1)*b.slots], e)
 }
 
-// more is by how much a rank has to load more when it takes one expert in the
-// place of another.
+// more is by how much a rank has to load more when it takes one expert, or none,
+// in the place of another.
 func (b *bound) more(r int, in, out graniteknot.Expert) int {
 	n := 0
-	if !b.had(r, in) {
+	if in != Blank && !b.had(r, in) {
 		n++
 	}
 	if out != Blank && !b.had(r, out) {
--- a/planner/next.go
+++ b/planner/next.go
@@ -16,22 +16,25 @@
 	Placement *Placement
 	// Moves is how many experts are loaded; Longest is the most by one rank.
 	Moves, Longest int
-	// Before and After are the skews of the smoothed loads.
+	// Drops is how many replicas ranks give up without loading another.
+	Drops int
+	// Before and After are the skews of the smoothed loads, by how long the ranks
+	// take for them.
 	Before, After float64
 }
 
 // PlanNext returns the map that is worth switching to from the present one in
-// one step. Moves is 0 when none is worth it.
+// one step. Moves and Drops are 0 when none is worth it.
 func (p *Planner) PlanNext(now *Placement, room Room) Next {
 	next := Next{Placement: now.Clone(), Before: 1, After: 1}
 	if p.smoothed == nil {
 		return next
 	}
-	next.Before = now.Skew(p.smoothed)
+	next.Before = now.skew(p.smoothed, p.Paces)
 	s := newSearch(p, now, next.Placement, room)
 	s.run()
-	next.Moves, next.Longest = s.bestMoves, s.bestLongest
-	next.After = next.Placement.Skew(p.smoothed)
+	next.Moves, next.Longest, next.Drops = s.bestMoves, s.bestLongest, s.bestDrops
+	next.After = next.Placement.skew(p.smoothed, p.Paces)
 	return next
 }
 
@@ -46,6 +49,7 @@
 
 	bestWorth              float64
 	bestMoves, bestLongest int
+	bestDrops              int
 }
 
 // layerSearch is one layer of a search.
@@ -69,6 +73,7 @@
 			continue
 		}
 		one := layerSearch{mean: mean, kept: next.layer(l)}
+		one.work.pace = p.Paces
 		one.work.reset(p.Shape, append([]graniteknot.Expert(nil), one.kept...), p.smoothed[l])
 		one.work.bound = newBound(p.Shape, now.layer(l), room, s.loads)
 		one.before = one.work.max() / mean
@@ -117,20 +122,22 @@
 
 // note keeps the present slots when they are worth the most.
 func (s *search) note() {
-	worth, moves, longest := 0.0, 0, 0
+	worth, moves, drops, longest := 0.0, 0, 0, 0
 	for i := range s.layers {
 		l := &s.layers[i]
 		worth += l.before - l.work.max()/l.mean
 		moves += l.work.bound.moves()
+		drops += l.work.drops
 	}
 	for _, n := range s.loads {
 		longest = max(longest, n)
 	}
-	worth -= s.threshold * float64(moves)
+	// A replica that is given up may have to be loaded again.
+	worth -= s.threshold * float64(moves+drops)
 	if worth <= s.bestWorth {
 		return
 	}
-	s.bestWorth, s.bestMoves, s.bestLongest = worth, moves, longest
+	s.bestWorth, s.bestMoves, s.bestLongest, s.bestDrops = worth, moves, longest, drops
 	for i := range s.layers {
 		copy(s.layers[i].kept, s.layers[i].work.slots)
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -61,6 +61,9 @@
 	Trigger float64
 	// Staging is how many experts a rank can load beside those it holds.
 	Staging int
+	// Paces is how many times slower than a healthy one each rank is, 1 or more;
+	// nil when all are healthy. PlanNext gives slower ranks less.
+	Paces []float64
 
 	smoothed Loads
 	// work and slots are kept between plans to save allocations.
--- a/planner/shape.go
+++ b/planner/shape.go
@@ -100,9 +100,12 @@
 
 // Skew returns the sum over layers of the largest rank load, over the sum of
 // the mean ones.
-func (p *Placement) Skew(loads Loads) float64 {
+func (p *Placement) Skew(loads Loads) float64 { return p.skew(loads, nil) }
+
+// skew is Skew with the loads weighed by how slow the ranks are.
+func (p *Placement) skew(loads Loads, pace []float64) float64 {
 	var most, mean float64
-	var w work
+	w := work{pace: pace}
 	for l := range loads {
 		w.reset(p.Shape, p.layer(l), loads[l])
 		most += w.max()
--- a/planner/work.go
+++ b/planner/work.go
@@ -20,8 +20,18 @@
 	shares []float64
 	// holders is the set of ranks that hold each expert, a bit for each.
 	holders []uint64
-	// held is the sum of the loads of the ranks that hold each expert.
-	held []float64
+	// pace is how many times slower each rank is than a healthy one; nil when all
+	// are healthy.
+	pace []float64
+	// square is the square of each rank's pace: its weight in the sum that the
+	// search lowers.
+	square []float64
+	// held is the sum of the weighted loads of the ranks that hold each expert,
+	// and heavy that of their weights.
+	held, heavy []float64
+	// drops counts the replicas that were taken out without another in their
+	// place.
+	drops int
 	// bound, if it is set, says which changes may be made.
 	bound *bound
 }
@@ -32,6 +42,8 @@
 	w.rank = cleared(w.rank, s.Ranks)
 	w.holders = cleared(w.holders, s.Experts)
 	w.held = cleared(w.held, s.Experts)
+	w.heavy = cleared(w.heavy, s.Experts)
+	w.weigh()
 	for i, e := range slots {
 		if e == Blank {
 			continue
@@ -50,11 +62,44 @@
 	}
 	for i, e := range slots {
 		if e != Blank {
-			w.held[e] += w.rank[i/s.Slots]
+			w.held[e] += w.square[i/s.Slots] * w.rank[i/s.Slots]
+			w.heavy[e] += w.square[i/s.Slots]
 		}
 	}
 }
 
+// weigh sets the ranks' weights.
+func (w *work) weigh() {
+	w.square = cleared(w.square, w.shape.Ranks)
+	for r := range w.square {
+		w.square[r] = 1
+		if w.pace != nil {
+			w.square[r] = w.pace[r] * w.pace[r]
+		}
+	}
+}
+
+// time is how long a rank takes for its load, in a healthy rank's units.
+func (w *work) time(r int) float64 {
+	if w.pace == nil {
+		return w.rank[r]
+	}
+	return w.pace[r] * w.rank[r]
+}
+
+// ideal is the time that all ranks would take if the load could be divided at
+// will: slower ranks would get less.
+func (w *work) ideal() float64 {
+	if w.pace == nil {
+		return w.load.mean(w.shape.Ranks)
+	}
+	healthy := 0.0
+	for _, p := range w.pace {
+		healthy += 1 / p
+	}
+	return w.load.mean(1) / healthy
+}
+
 func (w *work) holds(r int, e graniteknot.Expert) bool { return w.holders[e]&(1<<r) != 0 }
 
 func cleared[T int | float64 | uint64](list []T, n int) []T {
@@ -66,12 +111,13 @@
 	return list
 }
 
-func (w *work) max() float64 { return w.rank[w.hottest()] }
+// max is the time of the rank that takes the longest.
+func (w *work) max() float64 { return w.time(w.hottest()) }
 
 func (w *work) hottest() int {
 	best := 0
-	for r, v := range w.rank {
-		if v > w.rank[best] {
+	for r := range w.rank {
+		if w.time(r) > w.time(best) {
 			best = r
 		}
 	}
@@ -84,26 +130,28 @@
 
 // change is one step of the search: slot i of the hot rank and slot j of
 // another are exchanged, or the other's slot takes a replica of the hot one's
-// expert.
+// expert, or the hot rank's slot is emptied.
 type change struct {
 	hot, other int
 	i, j       int
 	replicate  bool
-	// gain is what the sum of the squared rank loads falls by. The largest load
-	// alone would not do: while several ranks are equally hot, no single change
-	// lowers it.
+	drop       bool
+	// gain is what the sum of the squared times of the ranks falls by. The largest
+	// time alone would not do: while several ranks are equally hot, no single
+	// change lowers it.
 	gain float64
-	// moves is how many experts are loaded.
+	// moves is how many slots take another expert, or none.
 	moves int
 }
 
 // best returns the change with the largest gain for its moves.
 func (w *work) best() (change, bool) {
 	hot := w.hottest()
-	mean := w.load.mean(w.shape.Ranks)
+	ideal := w.ideal()
 	found := change{}
+	w.bestDrop(hot, &found)
 	for other := range w.rank {
-		if w.rank[other] >= mean {
+		if w.time(other) >= ideal {
 			continue
 		}
 		for i, e := range w.on(hot) {
@@ -118,7 +166,6 @@
 // bestWith tries every slot of the other rank for one expert of the hot one.
 func (w *work) bestWith(hot, other, i int, found *change) {
 	e := w.on(hot)[i]
-	gap := w.rank[hot] - w.rank[other]
 	for j, f := range w.on(other) {
 		if (f == Blank || w.replicas[f] > 1) && w.bound.allows(other, e, f) {
 			gain := w.replicaGain(other, e, f)
@@ -128,8 +175,9 @@
 			continue
 		}
 		d := w.shares[e] - w.shares[f]
-		if d > 0 && d < gap && !w.holds(hot, f) && w.bound.allows(other, e, f) && w.bound.allows(hot, f, e) {
-			found.offer(change{hot: hot, other: other, i: i, j: j, gain: 2 * d * (gap - d), moves: 2})
+		if d > 0 && !w.holds(hot, f) && w.bound.allows(other, e, f) && w.bound.allows(hot, f, e) {
+			gain := w.square[hot]*d*(2*w.rank[hot]-d) - w.square[other]*d*(2*w.rank[other]+d)
+			found.offer(change{hot: hot, other: other, i: i, j: j, gain: gain, moves: 2})
 		}
 	}
 }
@@ -144,34 +192,71 @@
 	}
 }
 
+// bestDrop tries to take each expert out of the hot rank that others hold too.
+// That pays where the rank is slow; among healthy ranks a replica that is given
+// up now has to be loaded again soon. Only searches with a bound do it.
+func (w *work) bestDrop(hot int, found *change) {
+	if w.bound == nil || w.pace == nil {
+		return
+	}
+	for i, e := range w.on(hot) {
+		if e == Blank || w.replicas[e] < 2 {
+			continue
+		}
+		found.offer(change{hot: hot, other: hot, i: i, j: i, drop: true, gain: w.dropGain(hot, e), moves: 1})
+	}
+}
+
+// dropGain is the gain of taking e out of a rank; its other holders carry more.
+func (w *work) dropGain(r int, e graniteknot.Expert) float64 {
+	own := w.shares[e]
+	more := w.load[e]/float64(w.replicas[e]-1) - own
+	gain := w.square[r] * own * (2*w.rank[r] - own)
+	return gain - more*(2*(w.held[e]-w.square[r]*w.rank[r])+(w.heavy[e]-w.square[r])*more)
+}
+
 // replicaGain is the gain of a replica of e in the place of one of f. The
 // other holders of e carry less, those of f more, and the other rank the
 // difference.
 func (w *work) replicaGain(other int, e, f graniteknot.Expert) float64 {
-	n := float64(w.replicas[e])
-	added := w.load[e] / (n + 1)
+	square := w.square[other]
+	added := w.load[e] / float64(w.replicas[e]+1)
 	less := w.shares[e] - added
+	gain := less * (2*w.held[e] - w.heavy[e]*less)
 	if f == Blank {
-		return less*(2*w.held[e]-n*less) - added*(2*w.rank[other]+added)
+		return gain - square*added*(2*w.rank[other]+added)
 	}
-	m := float64(w.replicas[f])
-	more := w.load[f]/(m-1) - w.shares[f]
+	more := w.load[f]/float64(w.replicas[f]-1) - w.shares[f]
 	own := added - w.shares[f]
-	both := float64(bits.OnesCount64(w.holders[e] & w.holders[f]))
-	gain := less * (2*w.held[e] - n*less)
-	gain -= more * (2*(w.held[f]-w.rank[other]) + (m-1)*more)
-	gain += 2 * less * more * both
-	return gain - own*(2*w.rank[other]+own)
+	gain -= more * (2*(w.held[f]-square*w.rank[other]) + (w.heavy[f]-square)*more)
+	gain += 2 * less * more * w.weightOf(w.holders[e]&w.holders[f])
+	return gain - square*own*(2*w.rank[other]+own)
+}
+
+// weightOf is the sum of the weights of a set of ranks.
+func (w *work) weightOf(ranks uint64) float64 {
+	sum := 0.0
+	for ; ranks != 0; ranks &= ranks - 1 {
+		sum += w.square[bits.TrailingZeros64(ranks)]
+	}
+	return sum
 }
 
 // fits tells whether the bound still allows a change.
 func (w *work) fits(c change) bool {
+	if c.drop {
+		return true
+	}
 	e, f := w.on(c.hot)[c.i], w.on(c.other)[c.j]
 	return w.bound.allows(c.other, e, f) && (c.replicate || w.bound.allows(c.hot, f, e))
 }
 
 // apply makes a change.
 func (w *work) apply(c change) {
+	if c.drop {
+		w.drop(c)
+		return
+	}
 	e := w.on(c.hot)[c.i]
 	w.bound.note(c.other, e, w.on(c.other)[c.j])
 	if !c.replicate {
@@ -184,3 +269,11 @@
 	}
 	w.reset(w.shape, w.slots, w.load)
 }
+
+// drop takes an expert out of the hot rank.
+func (w *work) drop(c change) {
+	w.bound.note(c.hot, Blank, w.on(c.hot)[c.i])
+	w.on(c.hot)[c.i] = Blank
+	w.drops++
+	w.reset(w.shape, w.slots, w.load)
+}
