Gateways spread their requests between two reports of the engines

Change: engines are compared only among some taken at random, the fewer the more requests the other gateways send between two reports (own rate times peers), two at least. Test: forty gateways with the same reports, 40 of 40 chose one engine without it.

Ruled out: more room in engines; they had it.

--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -39,13 +39,20 @@
 }
 
 func (t *Table) best(q *Query, may func(*target) bool) *target {
-	var best *target
-	least := 0.0
-	g := t.load(t.services[q.Service.Name], q.Now)
+	var list []*target
 	for _, x := range t.services[q.Service.Name] {
-		if !may(x) {
-			continue
+		if may(x) {
+			list = append(list, x)
 		}
+	}
+	return cheapest(list, q, t.load(t.services[q.Service.Name], q.Now))
+}
+
+// cheapest returns the target with the least cost; nil when there is none.
+func cheapest(list []*target, q *Query, g groupLoad) *target {
+	var best *target
+	least := 0.0
+	for _, x := range list {
 		cost := x.cost(q, g) + jitter()
 		if best == nil || cost < least {
 			best, least = x, cost
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -62,6 +62,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.services[q.Service.Name]
+	t.arrivals(q.Service.Name).note(q.Now)
 	if t.best(q, func(x *target) bool { return !x.replica.Draining }) == nil {
 		return nil, nil
 	}
@@ -115,10 +116,14 @@
 		}
 		each = (most + peers - 1) / peers
 	}
-	return t.best(q, func(x *target) bool {
+	var may []*target
+	for _, x := range list {
 		own := int(float64(most) / x.slower(g, q.Now))
-		return x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < own
-	})
+		if x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < own {
+			may = append(may, x)
+		}
+	}
+	return cheapest(t.sample(q.Service.Name, may, q.Now), q, g)
 }
 
 // serve hands free room to those who wait; called with the lock held.
--- /dev/null
+++ b/internal/core/fleet/spread_test.go
@@ -0,0 +1,62 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// TestGatewaysDoNotCrowdOneEngine has many gateways choose between two reports,
+// of which one engine's shows the least: without a spread all would choose that.
+func TestGatewaysDoNotCrowdOneEngine(t *testing.T) {
+	const (
+		gateways = 40
+		engines  = 63
+		// most is far above what choices at random among two give, and far below
+		// the number of gateways.
+		most = 12
+	)
+	now := time.Now()
+	got := map[catalog.ReplicaID]int{}
+	for range gateways {
+		table := &fleet.Table{}
+		table.Share(gateways)
+		for i := range engines {
+			id := catalog.ReplicaID(fmt.Sprint("engine-", i))
+			table.Put(replica(id), now.Add(-time.Hour))
+			table.Report(replica(id).Address, fleet.Load{Running: min(i, 1), Taken: now})
+		}
+		// Some requests of before, ended since, tell the rate.
+		for range 3 {
+			acquireAt(t, table, now).End(fleet.VerdictGood, now)
+		}
+		got[acquireAt(t, table, now).Replica.ID]++
+	}
+	for id, n := range got {
+		if n > most {
+			t.Errorf("%d of %d gateways chose %s", n, gateways, id)
+		}
+	}
+}
+
+// TestQuietGatewaysCompareAll finds the least busy engine when nobody else sends
+// requests between two reports.
+func TestQuietGatewaysCompareAll(t *testing.T) {
+	table := with("a", "b", "c", "d", "e", "f")
+	table.Share(1)
+	now := time.Now()
+	for _, id := range []catalog.ReplicaID{"a", "b", "c", "d", "f"} {
+		table.Report(replica(id).Address, fleet.Load{Running: 2, Taken: now})
+	}
+	table.Report("e", fleet.Load{Running: 1, Taken: now})
+	for range 20 {
+		l := acquireAt(t, table, now)
+		if l.Replica.ID != "e" {
+			t.Fatalf("chose %s", l.Replica.ID)
+		}
+		l.End(fleet.VerdictGood, now)
+	}
+}
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -36,6 +36,8 @@
 	services map[graniteknot.Service][]*target
 	// queues hold those who wait for room, by service.
 	queues map[graniteknot.Service][]*waiter
+	// rates are how often own requests come, by service.
+	rates map[graniteknot.Service]*rate
 	// peers is how many gateways share the replicas; 0 counts as one.
 	peers int
 }
