--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -18,6 +18,9 @@
 	Self *Member `cbor:"6,keyasint,omitempty"`
 	// Load is set by sidecars.
 	Load *Digest `cbor:"5,keyasint,omitempty"`
+	// Question and Answer are set where the datagram is one.
+	Question *Question `cbor:"7,keyasint,omitempty"`
+	Answer   *Answer   `cbor:"8,keyasint,omitempty"`
 }
 
 // Digest is a replica's load, as its sidecar read it just before sending.
--- a/internal/core/presence/socket.go
+++ b/internal/core/presence/socket.go
@@ -25,6 +25,9 @@
 	// sent and received count bytes of datagrams.
 	sent, received atomic.Uint64
 	group          group.Group
+	// asked are the own questions; answer answers others'.
+	asked  asked
+	answer atomic.Pointer[func(context.Context, Kind, []byte) ([]byte, error)]
 
 	mu sync.Mutex
 	// parsed keeps addresses that were parsed.
@@ -56,15 +59,21 @@
 			log.Warn("malformed datagram from " + from.String())
 			continue
 		}
-		take(m)
+		switch {
+		case m.Question != nil:
+			s.respond(m.Question, from)
+		case m.Answer != nil:
+			s.asked.take(m.Answer)
+		default:
+			take(m)
+		}
 	}
 }
 
 // Send sends a message to some addresses. Datagrams may be lost, so a failure
 // to send one is not told either.
 func (s *Socket) Send(m Message, to []graniteknot.Address) {
-	m.Box, m.Born, m.Sequence = s.box, s.born, s.sequence.Add(1)
-	b, err := encode(&m)
+	b, err := s.encode(&m)
 	if err != nil {
 		return
 	}
@@ -76,6 +85,22 @@
 	}
 }
 
+// sendTo sends a message to where one came from.
+func (s *Socket) sendTo(m Message, to netip.AddrPort) {
+	b, err := s.encode(&m)
+	if err != nil {
+		return
+	}
+	s.sent.Add(uint64(len(b)))
+	_, _ = s.conn.WriteToUDPAddrPort(b, to)
+}
+
+// encode completes a message.
+func (s *Socket) encode(m *Message) ([]byte, error) {
+	m.Box, m.Born, m.Sequence = s.box, s.born, s.sequence.Add(1)
+	return encode(m)
+}
+
 func (s *Socket) parse(a graniteknot.Address) (netip.AddrPort, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,11 +115,16 @@
 	return parsed, true
 }
 
+// Address is where the socket takes datagrams.
+func (s *Socket) Address() graniteknot.Address {
+	return graniteknot.Address(s.conn.LocalAddr().String())
+}
+
 // Bytes counts the bytes sent and received.
 func (s *Socket) Bytes() (sent, received uint64) { return s.sent.Load(), s.received.Load() }
 
 // Close closes the socket and waits for its reader.
 func (s *Socket) Close() {
 	_ = s.conn.Close()
-	s.group.Wait()
+	s.group.Stop()
 }
--- /dev/null
+++ b/internal/core/ranks/datagram.go
@@ -0,0 +1,100 @@
+package ranks
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/wire"
+)
+
+// The questions that sidecars ask each other by datagrams.
+const (
+	askLook presence.Kind = 1
+	askGive presence.Kind = 2
+)
+
+// Asker asks another process by a datagram; presence.Socket is one.
+type Asker interface {
+	Ask(ctx context.Context, to graniteknot.Address, kind presence.Kind, body []byte) ([]byte, error)
+}
+
+// datagrams makes the calls by datagrams that fit into one: on the small boxes
+// of targets one costs a fraction of a call over HTTP, and a keeper makes
+// hundreds a second. What does not fit goes over HTTP. A datagram that is lost
+// looks like a sidecar that does not answer; the keeper asks again.
+type datagrams struct {
+	wire.Ranks
+	asker Asker
+	to    graniteknot.Address
+}
+
+// byDatagrams returns the calls of the sidecar at an address.
+func byDatagrams(asker Asker, to graniteknot.Address, http wire.Ranks) wire.Ranks {
+	if asker == nil {
+		return http
+	}
+	return &datagrams{Ranks: http, asker: asker, to: to}
+}
+
+// Look implements wire.Ranks.
+func (d *datagrams) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookReply, error) {
+	reply := &wire.LookReply{}
+	if r.GetLists() {
+		return d.Ranks.Look(ctx, r)
+	}
+	err := d.ask(ctx, askLook, r, reply)
+	if errors.Is(err, presence.ErrTooLarge) {
+		return d.Ranks.Look(ctx, r)
+	}
+	return reply, err
+}
+
+// Give implements wire.Ranks.
+func (d *datagrams) Give(ctx context.Context, r *wire.GiveRequest) (*wire.GiveReply, error) {
+	reply := &wire.GiveReply{}
+	err := d.ask(ctx, askGive, r, reply)
+	if errors.Is(err, presence.ErrTooLarge) {
+		return d.Ranks.Give(ctx, r)
+	}
+	return reply, err
+}
+
+func (d *datagrams) ask(ctx context.Context, kind presence.Kind, question, reply proto.Message) error {
+	body, err := proto.Marshal(question)
+	if err != nil {
+		return err
+	}
+	answer, err := d.asker.Ask(ctx, d.to, kind, body)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(answer, reply)
+}
+
+// Answer answers the questions of other sidecars; it is for presence.Socket's
+// Respond.
+func (d *Doer) Answer(ctx context.Context, kind presence.Kind, body []byte) ([]byte, error) {
+	switch kind {
+	case askLook:
+		return respond(ctx, body, &wire.LookRequest{}, d.Look)
+	case askGive:
+		return respond(ctx, body, &wire.GiveRequest{}, d.Give)
+	}
+	return nil, fmt.Errorf("a question of unknown kind %d", kind)
+}
+
+// respond makes a call whose request and reply are bodies of datagrams.
+func respond[Q, R proto.Message](ctx context.Context, body []byte, request Q, call func(context.Context, Q) (R, error)) ([]byte, error) {
+	if err := proto.Unmarshal(body, request); err != nil {
+		return nil, err
+	}
+	reply, err := call(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(reply)
+}
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -33,6 +33,10 @@
 	Target graniteknot.Address
 	Log    *eventlog.Log
 	Meter  *meter.Meter
+	// Peer reaches the sidecar at an address; nil for over HTTP.
+	Peer func(graniteknot.Address) wire.Ranks
+	// Asker reaches other sidecars by datagrams; nil for over HTTP only.
+	Asker Asker
 
 	peers peers
 	maps  maps
@@ -225,6 +229,9 @@
 	}
 	// Every expert has a place, so the highest tells how many there are.
 	experts := int(slices.Max(r.GetPlacement())) + 1
+	if experts > ranks*places {
+		return nil
+	}
 	s := planner.Shape{Layers: len(r.GetPlacement()) / (ranks * places), Experts: experts, Ranks: ranks, Slots: places}
 	p := planner.NewDealt(s)
 	at := 0
--- a/internal/core/ranks/find.go
+++ b/internal/core/ranks/find.go
@@ -31,8 +31,8 @@
 //
 // The former keeper's rank need not answer: where it alone is lacking, and one
 // place alone does not answer, it is taken to be there. Pass a negative rank for
-// none.
-func Find(ctx context.Context, name held.GroupName, size int, former graniteknot.Rank, places []Place, reach func(graniteknot.Address) held.Rank) ([]*Member, bool) {
+// none. An asker reaches sidecars by datagrams; nil for over HTTP only.
+func Find(ctx context.Context, name held.GroupName, size int, former graniteknot.Rank, places []Place, asker Asker, reach func(graniteknot.Address) held.Rank) ([]*Member, bool) {
 	if size <= 0 {
 		return nil, false
 	}
@@ -41,10 +41,9 @@
 	var all group.Group
 	for i, place := range places {
 		all.Go(func(context.Context) {
-			doer := wire.NewRanksProtobufClient("http://"+string(place.Sidecar), client)
+			doer := byDatagrams(asker, place.Sidecar, wire.NewRanksProtobufClient("http://"+string(place.Sidecar), client))
 			direct := reach(place.Target)
-			found[i] = NewMember(ask(ctx, name, doer, direct), doer, direct)
-			found[i].address = place.Sidecar
+			found[i] = NewMember(ask(ctx, name, doer, direct), doer, place.Sidecar, direct)
 		})
 	}
 	all.Wait()
--- a/internal/core/ranks/frozen_test.go
+++ b/internal/core/ranks/frozen_test.go
@@ -49,16 +49,35 @@
 	return f.Doer.Give(ctx, r)
 }
 
+// LookAll implements wire.Ranks.
+func (f *frozenDoer) LookAll(ctx context.Context, r *wire.LookAllRequest) (*wire.LookAllReply, error) {
+	if f.isFrozen() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.Doer.LookAll(ctx, r)
+}
+
+// GiveAll implements wire.Ranks.
+func (f *frozenDoer) GiveAll(ctx context.Context, r *wire.GiveAllRequest) (*wire.GiveAllReply, error) {
+	if f.isFrozen() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.Doer.GiveAll(ctx, r)
+}
+
 // keeperThrough returns a keeper that reaches one rank through another sidecar.
 func (b *bench) keeperThrough(f *frozenDoer, at int) *ranks.Keeper {
 	s := b.group.Shape
+	b.frozen, b.frozenAt = f, at
 	var members []*ranks.Member
 	for r, d := range b.doers {
 		var doer wire.Ranks = d
 		if r == at {
 			doer = f
 		}
-		members = append(members, ranks.NewMember(graniteknot.Rank(r), doer, b.group.Rank(graniteknot.Rank(r))))
+		members = append(members, ranks.NewMember(graniteknot.Rank(r), doer, sidecar(r), b.group.Rank(graniteknot.Rank(r))))
 	}
 	return ranks.NewKeeper(ranks.Parts{
 		Fence: 1, Members: members,
--- a/internal/core/ranks/give.go
+++ b/internal/core/ranks/give.go
@@ -13,23 +13,55 @@
 		return
 	}
 	w := newWaiter(len(orders))
+	var together []held.Order
 	for _, o := range orders {
-		c := &held.Command{Order: o, Fence: k.Fence}
 		if o.Kind == held.KindPrepare {
 			if now.Sub(k.prepared[o.Rank]) < k.loading()+prepareAgain {
 				w.done()
 				continue
 			}
 			k.prepared[o.Rank] = now
-			c.Placement = k.offered
-			c.Base, c.BaseVersion = k.placement, k.mapping
 		}
 		k.remember(&o)
-		k.Members[o.Rank].give(c, now, w.done)
+		if k.parts != nil && o.Kind != held.KindHold && !k.Members[o.Rank].overdue(now) {
+			together = append(together, o)
+			continue
+		}
+		k.Members[o.Rank].give(k.command(&o), now, w.done)
 	}
+	k.giveTogether(together, now, w.done)
 	w.wait(ctx, roundWait)
 }
 
+// giveTogether gives orders through a few sidecars, each to the ranks of its part
+// that get the same.
+func (k *Keeper) giveTogether(orders []held.Order, now time.Time, done func()) {
+	type batch struct {
+		part  int
+		order held.Order
+	}
+	batches := map[batch][]*Member{}
+	for _, o := range orders {
+		same := o
+		same.Rank = 0
+		b := batch{part: int(o.Rank) / partOf, order: same}
+		batches[b] = append(batches[b], k.Members[o.Rank])
+	}
+	for b, members := range batches {
+		giveAll(members, k.command(&b.order), now, done)
+	}
+}
+
+// command is an order with what carries it.
+func (k *Keeper) command(o *held.Order) *held.Command {
+	c := &held.Command{Order: *o, Fence: k.Fence}
+	if o.Kind == held.KindPrepare {
+		c.Placement = k.offered
+		c.Base, c.BaseVersion = k.placement, k.mapping
+	}
+	return c
+}
+
 // remember notes the steps that must not change until they are passed.
 func (k *Keeper) remember(o *held.Order) {
 	switch o.Kind {
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -46,7 +46,7 @@
 	longestLoad = 400 * time.Millisecond
 	// tallyRound is the least time between two readings of a large group's sums.
 	tallyRound = 200 * time.Millisecond
-	// rankTime is added to each pause for each rank: what a look at one takes of
+	// rankTime is added to each pause for each call of a look: what it takes of
 	// the keeper's processor and link.
 	rankTime = 600 * time.Microsecond
 	// roundWait is how long a round waits for the ranks' answers; what comes
@@ -99,6 +99,8 @@
 	// prepared is when each rank was last told to prepare.
 	prepared []time.Time
 	window   window
+	// parts are the ranks of a large group as they are reached; nil for a small one.
+	parts []*part
 	// tally reads the counts of a large group; nil for a small one.
 	tally *tally
 	pace  pace
@@ -118,6 +120,7 @@
 	k := &Keeper{
 		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
 	}
+	k.parts = partsOf(p.Members)
 	s := p.Planner.Shape
 	if s.Ranks*s.Layers*s.Experts > smallGroup {
 		k.tally = newTally(s, p.Members)
@@ -197,7 +200,12 @@
 }
 
 // forRanks is by how much longer the keeper of a larger group pauses.
-func (k *Keeper) forRanks() time.Duration { return time.Duration(len(k.Members)) * rankTime }
+func (k *Keeper) forRanks() time.Duration {
+	if k.parts != nil {
+		return time.Duration(len(k.parts)) * rankTime
+	}
+	return time.Duration(len(k.Members)) * rankTime
+}
 
 func (k *Keeper) pause(p held.Phase) time.Duration {
 	switch p {
--- a/internal/core/ranks/keeper_test.go
+++ b/internal/core/ranks/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"graniteknot.org/go/internal/core/ranks"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/standin/obeying"
+	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/planner"
 )
 
@@ -27,6 +29,9 @@
 	group *obeying.Group
 	doers []*ranks.Doer
 	run   group.Group
+	// frozen stands for the sidecar of the rank frozenAt; nil for none.
+	frozen   *frozenDoer
+	frozenAt int
 }
 
 func newBench(s planner.Shape, seed uint64) *bench {
@@ -34,12 +39,27 @@
 	b.group.Load = loadTime
 	b.group.Like(uneven(s, seed))
 	for r := range s.Ranks {
-		b.doers = append(b.doers, &ranks.Doer{Rank: b.group.Rank(graniteknot.Rank(r))})
+		b.doers = append(b.doers, &ranks.Doer{Rank: b.group.Rank(graniteknot.Rank(r)), Peer: b.sidecar})
 	}
 	b.run.Go(func(ctx context.Context) { b.group.Run(ctx, passTime) })
 	return b
 }
 
+// sidecar is where other sidecars reach that of a rank.
+func sidecar(rank int) graniteknot.Address { return graniteknot.Address(strconv.Itoa(rank)) }
+
+// sidecar returns the calls of the sidecar at an address.
+func (b *bench) sidecar(a graniteknot.Address) wire.Ranks {
+	rank, err := strconv.Atoi(string(a))
+	if err != nil {
+		return nil
+	}
+	if b.frozen != nil && rank == b.frozenAt {
+		return b.frozen
+	}
+	return b.doers[rank]
+}
+
 func (b *bench) stop() {
 	b.run.Stop()
 	b.group.Wait()
@@ -67,7 +87,7 @@
 	s := b.group.Shape
 	var members []*ranks.Member
 	for r, d := range b.doers {
-		members = append(members, ranks.NewMember(graniteknot.Rank(r), d, b.group.Rank(graniteknot.Rank(r))))
+		members = append(members, ranks.NewMember(graniteknot.Rank(r), d, sidecar(r), b.group.Rank(graniteknot.Rank(r))))
 	}
 	return ranks.NewKeeper(ranks.Parts{
 		Fence: fence, Own: own, Former: former, Members: members,
@@ -197,6 +217,37 @@
 	})
 }
 
+// TestLargeGroupWithASilentSidecar freezes a sidecar through which the keeper
+// reaches others, and one that is reached through another.
+func TestLargeGroupWithASilentSidecar(t *testing.T) {
+	if testing.Short() {
+		t.Skip("long under the race detector")
+	}
+	for _, at := range []int{16, 19} {
+		synctest.Test(t, func(t *testing.T) {
+			large := planner.Shape{Layers: 2, Experts: 96, Ranks: 32, Slots: 4}
+			b := newBench(large, 7)
+			defer b.stop()
+			before := b.group.Show().Skew
+			frozen := &frozenDoer{Doer: b.doers[at]}
+			k := b.keeperThrough(frozen, at)
+			b.run.Go(func(context.Context) {
+				time.Sleep(2 * time.Second)
+				frozen.freeze()
+				b.group.Like(uneven(large, 8))
+			})
+			b.keepFor(k, 20*time.Second)
+			shown := b.check(t)
+			if shown.Held || shown.Skew > before/2 {
+				t.Errorf("rank %d silent: held %v, skew %.2f of %.2f", at, shown.Held, shown.Skew, before)
+			}
+			if shown.Longest > 2*time.Second {
+				t.Errorf("rank %d silent: the group stood for %v", at, shown.Longest)
+			}
+		})
+	}
+}
+
 // TestSilentSidecar freezes the sidecar of a rank in the middle of switches; its
 // rank is then reached from afar.
 func TestSilentSidecar(t *testing.T) {
--- a/internal/core/ranks/look.go
+++ b/internal/core/ranks/look.go
@@ -12,11 +12,7 @@
 // look reads all ranks, and returns what is known of them after a short wait;
 // false when too little is.
 func (k *Keeper) look(ctx context.Context, r *wire.LookRequest, now time.Time) (looks []seen, whole bool) {
-	w := newWaiter(len(k.Members))
-	for _, m := range k.Members {
-		m.look(r, now, w.done)
-	}
-	w.wait(ctx, roundWait)
+	k.ask(ctx, r, now)
 	looks = make([]seen, len(k.Members))
 	for i, m := range k.Members {
 		last, at := m.shown()
@@ -28,6 +24,28 @@
 	return looks, true
 }
 
+// ask asks all ranks and waits a little: those of a large group through a few
+// sidecars, and the ones that are not reached so directly.
+func (k *Keeper) ask(ctx context.Context, r *wire.LookRequest, now time.Time) {
+	direct := k.Members
+	if k.parts != nil {
+		direct = nil
+		for _, m := range k.Members {
+			if m.overdue(now) {
+				direct = append(direct, m)
+			}
+		}
+	}
+	w := newWaiter(len(k.parts) + len(direct))
+	for _, p := range k.parts {
+		p.look(r, now, w.done)
+	}
+	for _, m := range direct {
+		m.look(r, now, w.done)
+	}
+	w.wait(ctx, roundWait)
+}
+
 // otherFence returns the highest fence of another keeper that any rank told.
 func (k *Keeper) otherFence() graniteknot.Position {
 	var highest graniteknot.Position
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -78,9 +78,10 @@
 }
 
 // NewMember returns a rank that is reached through its sidecar's calls and, when
-// the sidecar is silent, from afar; direct may be nil.
-func NewMember(r graniteknot.Rank, doer wire.Ranks, direct held.Rank) *Member {
-	return &Member{rank: r, doer: doer, direct: direct, under: map[call]underWay{}}
+// the sidecar is silent, from afar; direct may be nil. The address is where other
+// sidecars reach the sidecar; empty for one that they can't.
+func NewMember(r graniteknot.Rank, doer wire.Ranks, address graniteknot.Address, direct held.Rank) *Member {
+	return &Member{rank: r, doer: doer, address: address, direct: direct, under: map[call]underWay{}}
 }
 
 // begin notes a call that is to be made now; false when enough of the same are
@@ -225,11 +226,7 @@
 		}
 		return result
 	}
-	request := commandToWire(c)
-	if c.Base != nil {
-		request.Base, request.Moves = int64(c.BaseVersion), difference(c.Base, c.Placement)
-	}
-	reply, err := m.doer.Give(ctx, request)
+	reply, err := m.doer.Give(ctx, requestOf(c))
 	if err == nil && reply.GetUnknownBase() {
 		whole := *c
 		whole.Base = nil
@@ -292,3 +289,13 @@
 	defer m.mu.Unlock()
 	return m.fenced
 }
+
+// requestOf tells a map by how it differs from the one that it is based on, if
+// there is one.
+func requestOf(c *held.Command) *wire.GiveRequest {
+	r := commandToWire(c)
+	if c.Base != nil {
+		r.Base, r.Moves = int64(c.BaseVersion), difference(c.Base, c.Placement)
+	}
+	return r
+}
--- a/internal/core/ranks/sum.go
+++ b/internal/core/ranks/sum.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
@@ -39,6 +40,14 @@
 	return wire.NewRanksProtobufClient("http://"+address, p.http)
 }
 
+// peer returns the calls of another sidecar.
+func (d *Doer) peer(address string) wire.Ranks {
+	if d.Peer != nil {
+		return d.Peer(graniteknot.Address(address))
+	}
+	return byDatagrams(d.Asker, graniteknot.Address(address), d.peers.client(address))
+}
+
 // Sum implements wire.Ranks.
 func (d *Doer) Sum(ctx context.Context, r *wire.SumRequest) (*wire.SumReply, error) {
 	all := make([][]uint64, len(r.GetSidecars())+1)
@@ -47,7 +56,7 @@
 		asked.Go(func(context.Context) {
 			short, cancel := context.WithTimeout(ctx, sumTime)
 			defer cancel()
-			if reply, err := d.peers.client(address).Sum(short, &wire.SumRequest{}); err == nil {
+			if reply, err := d.peer(address).Sum(short, &wire.SumRequest{}); err == nil {
 				all[i] = reply.GetCounts()
 			}
 		})
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -146,5 +146,5 @@
 	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
 		places = append(places, ranks.Place{Sidecar: m.Peers, Target: m.Target})
 	}
-	return ranks.Find(ctx, report.Group, report.Size, former, places, s.Rank)
+	return ranks.Find(ctx, report.Group, report.Size, former, places, s.socket, s.Rank)
 }
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -90,6 +90,8 @@
 		return err
 	}
 	s.socket = socket
+	s.doer.Asker = socket
+	socket.Respond(s.doer.Answer)
 	if err := s.listen(ctx); err != nil {
 		return err
 	}
--- a/internal/wire/ranks.twirp.go
+++ b/internal/wire/ranks.twirp.go
@@ -39,6 +39,13 @@
 
 	// Give gives an order to the sidecar's rank.
 	Give(context.Context, *GiveRequest) (*GiveReply, error)
+
+	// LookAll is Look at the sidecar's own rank and through several other sidecars,
+	// so that the keeper of a large group makes a few calls instead of many.
+	LookAll(context.Context, *LookAllRequest) (*LookAllReply, error)
+
+	// GiveAll is Give in the same way.
+	GiveAll(context.Context, *GiveAllRequest) (*GiveAllReply, error)
 }
 
 // =====================
@@ -47,7 +54,7 @@
 
 type ranksProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -75,10 +82,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "graniteknot.wire", "Ranks")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Look",
 		serviceURL + "Sum",
 		serviceURL + "Give",
+		serviceURL + "LookAll",
+		serviceURL + "GiveAll",
 	}
 
 	return &ranksProtobufClient{
@@ -227,13 +236,105 @@
 	return out, nil
 }
 
+func (c *ranksProtobufClient) LookAll(ctx context.Context, in *LookAllRequest) (*LookAllReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "graniteknot.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Ranks")
+	ctx = ctxsetters.WithMethodName(ctx, "LookAll")
+	caller := c.callLookAll
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LookAllRequest) (*LookAllReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookAllRequest) when calling interceptor")
+					}
+					return c.callLookAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ranksProtobufClient) callLookAll(ctx context.Context, in *LookAllRequest) (*LookAllReply, error) {
+	out := new(LookAllReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *ranksProtobufClient) GiveAll(ctx context.Context, in *GiveAllRequest) (*GiveAllReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "graniteknot.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Ranks")
+	ctx = ctxsetters.WithMethodName(ctx, "GiveAll")
+	caller := c.callGiveAll
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GiveAllRequest) (*GiveAllReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveAllRequest) when calling interceptor")
+					}
+					return c.callGiveAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ranksProtobufClient) callGiveAll(ctx context.Context, in *GiveAllRequest) (*GiveAllReply, error) {
+	out := new(GiveAllReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Ranks JSON Client
 // =================
 
 type ranksJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -261,10 +362,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "graniteknot.wire", "Ranks")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Look",
 		serviceURL + "Sum",
 		serviceURL + "Give",
+		serviceURL + "LookAll",
+		serviceURL + "GiveAll",
 	}
 
 	return &ranksJSONClient{
@@ -413,6 +516,98 @@
 	return out, nil
 }
 
+func (c *ranksJSONClient) LookAll(ctx context.Context, in *LookAllRequest) (*LookAllReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "graniteknot.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Ranks")
+	ctx = ctxsetters.WithMethodName(ctx, "LookAll")
+	caller := c.callLookAll
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LookAllRequest) (*LookAllReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookAllRequest) when calling interceptor")
+					}
+					return c.callLookAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ranksJSONClient) callLookAll(ctx context.Context, in *LookAllRequest) (*LookAllReply, error) {
+	out := new(LookAllReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *ranksJSONClient) GiveAll(ctx context.Context, in *GiveAllRequest) (*GiveAllReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "graniteknot.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Ranks")
+	ctx = ctxsetters.WithMethodName(ctx, "GiveAll")
+	caller := c.callGiveAll
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GiveAllRequest) (*GiveAllReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveAllRequest) when calling interceptor")
+					}
+					return c.callGiveAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *ranksJSONClient) callGiveAll(ctx context.Context, in *GiveAllRequest) (*GiveAllReply, error) {
+	out := new(GiveAllReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Ranks Server Handler
 // ====================
@@ -519,6 +714,12 @@
 	case "Give":
 		s.serveGive(ctx, resp, req)
 		return
+	case "LookAll":
+		s.serveLookAll(ctx, resp, req)
+		return
+	case "GiveAll":
+		s.serveGiveAll(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1066,6 +1267,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *ranksServer) serveLookAll(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLookAllJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLookAllProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *ranksServer) serveLookAllJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "LookAll")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LookAllRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Ranks.LookAll
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookAllRequest) (*LookAllReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookAllRequest) when calling interceptor")
+					}
+					return s.Ranks.LookAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LookAllReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookAllReply and nil error while calling LookAll. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *ranksServer) serveLookAllProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "LookAll")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LookAllRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Ranks.LookAll
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LookAllRequest) (*LookAllReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LookAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LookAllRequest) when calling interceptor")
+					}
+					return s.Ranks.LookAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LookAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LookAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LookAllReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LookAllReply and nil error while calling LookAll. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *ranksServer) serveGiveAll(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGiveAllJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGiveAllProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *ranksServer) serveGiveAllJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GiveAll")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GiveAllRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Ranks.GiveAll
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GiveAllRequest) (*GiveAllReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveAllRequest) when calling interceptor")
+					}
+					return s.Ranks.GiveAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GiveAllReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GiveAllReply and nil error while calling GiveAll. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *ranksServer) serveGiveAllProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "GiveAll")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GiveAllRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Ranks.GiveAll
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GiveAllRequest) (*GiveAllReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveAllRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveAllRequest) when calling interceptor")
+					}
+					return s.Ranks.GiveAll(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveAllReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveAllReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GiveAllReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GiveAllReply and nil error while calling GiveAll. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *ranksServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor1, 0
 }
@@ -1082,45 +1643,52 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 640 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x54, 0xc1, 0x6e, 0xd3, 0x4a,
-	0x14, 0x95, 0x6b, 0x3b, 0xb1, 0x6f, 0xde, 0xe2, 0x3d, 0xeb, 0x09, 0x99, 0xb4, 0x48, 0xc6, 0x0b,
-	0xe4, 0x55, 0x2a, 0xc2, 0x86, 0x1d, 0x22, 0x12, 0x62, 0xd3, 0xd5, 0x74, 0xc7, 0x82, 0x6a, 0x9a,
-	0x5c, 0x52, 0xcb, 0xce, 0x8c, 0x99, 0x19, 0x37, 0xc0, 0x37, 0xf0, 0x71, 0x7c, 0x01, 0xff, 0xc0,
-	0x1f, 0xa0, 0x7b, 0x6d, 0x27, 0x2e, 0x6d, 0xd9, 0xdd, 0x33, 0x73, 0x35, 0xe7, 0xdc, 0x73, 0x8f,
-	0x0d, 0x33, 0x23, 0x55, 0x65, 0x17, 0x8d, 0xd1, 0x4e, 0x27, 0xff, 0x6e, 0x8d, 0x54, 0xa5, 0xc3,
-	0x4a, 0x69, 0xb7, 0xd8, 0x97, 0x06, 0xf3, 0x1a, 0x66, 0x17, 0x5a, 0x57, 0x02, 0x3f, 0xb7, 0x68,
-	0x5d, 0xf2, 0x3f, 0x84, 0x9f, 0x50, 0xad, 0x31, 0xf5, 0x32, 0xaf, 0xf0, 0x45, 0x07, 0x92, 0xa7,
-	0x10, 0xe9, 0xbd, 0xba, 0xa2, 0x97, 0xd2, 0x20, 0xf3, 0x8a, 0x50, 0x4c, 0xf5, 0x5e, 0x09, 0xa9,
-	0xaa, 0xe4, 0x09, 0x4c, 0xd6, 0xba, 0x55, 0xce, 0xa6, 0x27, 0x99, 0x57, 0x44, 0xa2, 0x47, 0xf4,
-	0x50, 0x5d, 0x5a, 0x67, 0x53, 0x9f, 0x8f, 0x3b, 0x90, 0x17, 0x00, 0x97, 0xed, 0x6e, 0x20, 0x9b,
-	0x43, 0x64, 0xcb, 0x0d, 0xae, 0xa5, 0xb1, 0xa9, 0x97, 0xf9, 0x45, 0x2c, 0x0e, 0x38, 0x7f, 0x0d,
-	0x11, 0x77, 0x36, 0xf5, 0xd7, 0x11, 0x07, 0x75, 0x05, 0x63, 0x0e, 0x1e, 0x8e, 0xa9, 0x43, 0xd1,
-	0x81, 0xfc, 0xa7, 0x07, 0x31, 0x49, 0xbb, 0x74, 0xd2, 0x21, 0xf5, 0x60, 0xa3, 0xd7, 0x37, 0xc3,
-	0x40, 0x0c, 0x92, 0x04, 0x02, 0xdd, 0xa0, 0xea, 0x35, 0x73, 0x4d, 0x67, 0xd6, 0x61, 0xc3, 0x82,
-	0x03, 0xc1, 0x75, 0x92, 0xc2, 0x74, 0x27, 0x9b, 0xa6, 0x54, 0x5b, 0x9e, 0xdb, 0x17, 0x03, 0x24,
-	0xed, 0x8d, 0xc1, 0x46, 0x1a, 0xdc, 0xa4, 0x21, 0x5f, 0x1d, 0x30, 0x71, 0x4a, 0xb3, 0xc3, 0x4d,
-	0x3a, 0xe9, 0x38, 0x19, 0x90, 0x89, 0x5c, 0x5c, 0x49, 0x97, 0x4e, 0x99, 0x63, 0xca, 0xf8, 0xad,
-	0x23, 0xea, 0x1b, 0xac, 0x37, 0x69, 0xd4, 0x51, 0x53, 0x4d, 0xd4, 0x7b, 0x6d, 0x2a, 0xa2, 0x8e,
-	0x59, 0xe5, 0x00, 0xf3, 0x17, 0x00, 0xef, 0xbe, 0x34, 0x68, 0xdc, 0x45, 0x69, 0x1d, 0xf5, 0x21,
-	0xa3, 0xce, 0x9d, 0x50, 0x0c, 0x30, 0xff, 0x7e, 0x02, 0x71, 0xb7, 0xdb, 0xde, 0x44, 0x5e, 0xe6,
-	0xa6, 0x77, 0xa2, 0x47, 0x24, 0x76, 0x6b, 0x74, 0xdb, 0xb0, 0x17, 0xb1, 0xe8, 0x00, 0x29, 0xe2,
-	0x6d, 0xfb, 0xec, 0x2c, 0xd7, 0x6c, 0x50, 0xf9, 0x0d, 0xfb, 0x04, 0x70, 0x4d, 0xaf, 0x3a, 0x69,
-	0xb6, 0xe8, 0xd8, 0x84, 0x58, 0xf4, 0x28, 0x79, 0x09, 0xa1, 0x25, 0xff, 0xd9, 0x82, 0xd9, 0xf2,
-	0x74, 0xf1, 0x67, 0xf0, 0x16, 0x87, 0x15, 0x89, 0xae, 0x73, 0xb4, 0xe5, 0xe9, 0x9d, 0x2d, 0x2f,
-	0x87, 0x24, 0x45, 0x99, 0x5f, 0xcc, 0x96, 0x67, 0xf7, 0x9f, 0x3a, 0xba, 0xd1, 0xe7, 0x8c, 0xa4,
-	0x36, 0x72, 0x8d, 0xec, 0x9c, 0x27, 0xb8, 0xce, 0x7f, 0x79, 0x30, 0x7b, 0x5f, 0xde, 0xe2, 0xdf,
-	0xa3, 0x9e, 0x40, 0x50, 0x95, 0x6a, 0xd3, 0x47, 0x8a, 0x6b, 0xb2, 0xf8, 0x16, 0x8d, 0x2d, 0xb5,
-	0x62, 0x3f, 0x7c, 0x31, 0xc0, 0x43, 0x66, 0x82, 0x51, 0x66, 0x0e, 0x89, 0x0b, 0xc7, 0x89, 0x3b,
-	0x83, 0xb8, 0xa9, 0xe5, 0x1a, 0x77, 0xa8, 0x5c, 0x3a, 0xc9, 0xfc, 0xe2, 0x3f, 0x71, 0x3c, 0xa0,
-	0xd9, 0x19, 0x58, 0x4e, 0x46, 0x28, 0x7a, 0x74, 0x4c, 0x78, 0x34, 0x4a, 0x38, 0xb1, 0x5e, 0x4b,
-	0xdb, 0x4d, 0xe7, 0x0b, 0xae, 0xa9, 0x73, 0xa7, 0x6f, 0xd1, 0xa6, 0xc0, 0x6f, 0x77, 0x20, 0xff,
-	0x08, 0x71, 0x37, 0x72, 0x9f, 0x00, 0x83, 0xb6, 0xad, 0x1d, 0x4f, 0x1c, 0x8a, 0x1e, 0x8d, 0x92,
-	0x71, 0x72, 0x27, 0x19, 0xcf, 0xe1, 0x9f, 0x56, 0x55, 0x8a, 0xbe, 0x7c, 0xa6, 0xeb, 0xbe, 0xe4,
-	0x59, 0x7f, 0xb6, 0x92, 0x16, 0x97, 0x3f, 0x3c, 0x08, 0x05, 0x6b, 0x5a, 0x41, 0x40, 0x59, 0x4b,
-	0x9e, 0xdd, 0x5f, 0xcf, 0xe8, 0xff, 0x32, 0x3f, 0x7d, 0xec, 0x9a, 0x04, 0xbe, 0x01, 0xff, 0xb2,
-	0xdd, 0x25, 0x0f, 0x6c, 0xf8, 0xf8, 0xd3, 0x98, 0xcf, 0x1f, 0xb9, 0xa5, 0x07, 0x56, 0x10, 0xd0,
-	0xb8, 0x0f, 0x89, 0x18, 0x6d, 0xfe, 0x21, 0x11, 0x07, 0x97, 0x56, 0xf9, 0x87, 0x6c, 0x7c, 0xab,
-	0xcd, 0xf6, 0x7c, 0xab, 0xcf, 0x4b, 0xe5, 0xd0, 0x28, 0x59, 0x9f, 0x53, 0xf7, 0xf5, 0x84, 0xff,
-	0xa6, 0xaf, 0x7e, 0x07, 0x00, 0x00, 0xff, 0xff, 0x85, 0xfa, 0x90, 0x69, 0x5c, 0x05, 0x00, 0x00,
+	// 751 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xc1, 0x8e, 0xda, 0x48,
+	0x10, 0x95, 0xb1, 0x0d, 0xb8, 0x18, 0xad, 0x76, 0x5b, 0xab, 0x95, 0x97, 0x9d, 0x5d, 0xb1, 0x3e,
+	0x44, 0x9c, 0x18, 0x0d, 0x51, 0xa4, 0xdc, 0xa2, 0x41, 0x1a, 0xe5, 0x90, 0x39, 0xf5, 0xdc, 0x72,
+	0xc8, 0xc8, 0x03, 0x1d, 0xc6, 0xb2, 0xe9, 0x76, 0xba, 0x1b, 0xc8, 0xe4, 0x1b, 0xf2, 0x8d, 0xf9,
+	0x80, 0xdc, 0xf2, 0x07, 0x51, 0x95, 0xdb, 0xc6, 0x4c, 0x80, 0xe4, 0x56, 0xaf, 0x29, 0xea, 0xbd,
+	0xaa, 0x7e, 0x5d, 0x86, 0x81, 0x4e, 0x65, 0x6e, 0x26, 0xa5, 0x56, 0x56, 0xb1, 0xdf, 0x97, 0x3a,
+	0x95, 0x99, 0x15, 0xb9, 0x54, 0x76, 0xb2, 0xcd, 0xb4, 0x48, 0xee, 0xe0, 0xb7, 0x1b, 0xa5, 0xf2,
+	0xab, 0xa2, 0xe0, 0xe2, 0xc3, 0x5a, 0x18, 0xcb, 0x2e, 0x21, 0x28, 0x94, 0xca, 0x63, 0x6f, 0xe4,
+	0x8d, 0x07, 0xd3, 0x7f, 0x27, 0x4f, 0xff, 0x32, 0xc1, 0x7c, 0x97, 0xcc, 0x29, 0x95, 0x0d, 0xa1,
+	0x6f, 0xb2, 0x85, 0x98, 0xa7, 0xda, 0xc4, 0x9d, 0x91, 0x3f, 0x8e, 0x78, 0x83, 0x93, 0x6b, 0x38,
+	0x6b, 0x08, 0xca, 0xe2, 0x91, 0xbd, 0x80, 0x9e, 0x16, 0x65, 0x91, 0x09, 0x13, 0x7b, 0x23, 0x7f,
+	0x3c, 0x98, 0xfe, 0x73, 0x8c, 0xa1, 0x2c, 0x1e, 0x79, 0x9d, 0x8b, 0x3a, 0x5f, 0x67, 0x1b, 0xb1,
+	0xaf, 0x73, 0x99, 0x6d, 0xc4, 0x71, 0x9d, 0x98, 0xdf, 0xe8, 0xc4, 0xd4, 0x9f, 0xe9, 0x6c, 0x08,
+	0x7e, 0x55, 0x67, 0xc5, 0xb0, 0xa7, 0xb3, 0x80, 0x41, 0x6b, 0x3e, 0xec, 0x4f, 0x08, 0xdf, 0x0b,
+	0x39, 0xaf, 0x54, 0xfa, 0xbc, 0x02, 0xec, 0x6f, 0xe8, 0xab, 0xad, 0xbc, 0xc3, 0x9b, 0x89, 0x83,
+	0x91, 0x37, 0x0e, 0x79, 0x4f, 0x6d, 0x25, 0x4f, 0x65, 0xce, 0xfe, 0x82, 0xee, 0x5c, 0xad, 0xa5,
+	0x45, 0x81, 0xde, 0xb8, 0xcf, 0x1d, 0xc2, 0x42, 0x45, 0x66, 0xac, 0x89, 0x7d, 0x3a, 0xae, 0x40,
+	0x32, 0x06, 0xb8, 0x5d, 0xaf, 0x6a, 0xb2, 0x76, 0x7b, 0xde, 0x93, 0xf6, 0x5e, 0x42, 0x9f, 0x32,
+	0xb1, 0xb5, 0x1d, 0x07, 0x66, 0x05, 0x6d, 0x0e, 0x32, 0x0b, 0x51, 0x87, 0xbc, 0x02, 0xc9, 0x17,
+	0x0f, 0x22, 0x94, 0x76, 0x6b, 0x53, 0x2b, 0x30, 0x47, 0x94, 0x6a, 0xfe, 0x50, 0x37, 0x44, 0x80,
+	0x31, 0x08, 0x54, 0x29, 0xa4, 0xd3, 0x4c, 0x31, 0x9e, 0x19, 0x2b, 0x4a, 0x12, 0x1c, 0x70, 0x8a,
+	0x59, 0x0c, 0xbd, 0x55, 0x5a, 0x96, 0x99, 0x5c, 0x52, 0xdf, 0x3e, 0xaf, 0x21, 0x6a, 0x2f, 0xb5,
+	0x28, 0x53, 0x2d, 0x16, 0x71, 0x48, 0x3f, 0x35, 0x18, 0x39, 0x53, 0xbd, 0x12, 0x8b, 0xb8, 0x5b,
+	0x71, 0x12, 0xc0, 0x21, 0x52, 0x70, 0x97, 0xda, 0xb8, 0x47, 0x1c, 0x3d, 0xc2, 0x57, 0x16, 0xa9,
+	0x1f, 0x44, 0xb1, 0x88, 0xfb, 0x15, 0x35, 0xc6, 0x48, 0xbd, 0x55, 0x3a, 0x47, 0xea, 0x88, 0x54,
+	0xd6, 0x30, 0x79, 0x06, 0x70, 0xfd, 0xb1, 0x14, 0xda, 0xde, 0x64, 0xc6, 0x62, 0x9e, 0x20, 0x54,
+	0x4d, 0x27, 0xe4, 0x35, 0x4c, 0x3e, 0x77, 0x20, 0x6a, 0x9c, 0x89, 0x43, 0xa4, 0xcb, 0x5c, 0xb8,
+	0x49, 0x38, 0x84, 0x62, 0x97, 0x5a, 0xad, 0x4b, 0x9a, 0x45, 0xc4, 0x2b, 0x80, 0x8a, 0xe8, 0xb6,
+	0x7d, 0x9a, 0x2c, 0xc5, 0x34, 0xa0, 0xec, 0x93, 0x70, 0x0e, 0xa0, 0x18, 0xab, 0xda, 0x54, 0x2f,
+	0x85, 0xa5, 0x21, 0x44, 0xdc, 0x21, 0x76, 0x09, 0xa1, 0xc1, 0xf9, 0xd3, 0x08, 0x0e, 0x7a, 0xb1,
+	0xb9, 0x22, 0x5e, 0x65, 0xb6, 0x6e, 0xb9, 0xb7, 0x77, 0xcb, 0xd3, 0xda, 0x49, 0x7d, 0xb2, 0xf5,
+	0xf9, 0x8f, 0xa5, 0x76, 0xd3, 0x70, 0x3e, 0x43, 0xa9, 0x65, 0x3a, 0x17, 0x34, 0x39, 0x8f, 0x53,
+	0x9c, 0x7c, 0xf3, 0x60, 0xd0, 0x7a, 0x62, 0x47, 0xac, 0xce, 0x20, 0xc8, 0x33, 0xb9, 0x70, 0x96,
+	0xa2, 0x18, 0x47, 0xbc, 0x11, 0xda, 0x64, 0x4a, 0xd2, 0x3c, 0x7c, 0x5e, 0xc3, 0xc6, 0x33, 0x41,
+	0xcb, 0x33, 0x8d, 0xe3, 0xc2, 0xb6, 0xe3, 0xce, 0x21, 0x2a, 0x8b, 0x74, 0x2e, 0x56, 0x42, 0xda,
+	0xb8, 0x3b, 0xf2, 0xc7, 0x7f, 0xf0, 0xdd, 0x01, 0xf6, 0x4e, 0xc0, 0x90, 0x33, 0x42, 0xee, 0xd0,
+	0xce, 0xe1, 0xfd, 0x96, 0xc3, 0x91, 0xf5, 0x3e, 0x35, 0x55, 0x77, 0x3e, 0xa7, 0x18, 0x33, 0x57,
+	0x6a, 0x23, 0x4c, 0x0c, 0x54, 0xbb, 0x02, 0xc9, 0x3b, 0x88, 0x9a, 0x37, 0x8f, 0x24, 0x5a, 0x98,
+	0x75, 0x61, 0xa9, 0xe3, 0x90, 0x3b, 0xd4, 0x72, 0x46, 0x67, 0xcf, 0x19, 0xff, 0xc3, 0xd9, 0x5a,
+	0xe6, 0x12, 0x5f, 0x3e, 0xd1, 0x55, 0x2f, 0x79, 0xe0, 0xce, 0x66, 0xa9, 0x11, 0xd3, 0xaf, 0x1d,
+	0x08, 0x39, 0x69, 0x9a, 0x41, 0x80, 0x5e, 0x63, 0xa7, 0xf7, 0xef, 0xf0, 0xd4, 0xf2, 0x64, 0xaf,
+	0xc0, 0xbf, 0x5d, 0xaf, 0xd8, 0x81, 0x1b, 0xde, 0x2d, 0x8d, 0xe1, 0xf0, 0xc8, 0xaf, 0x58, 0x60,
+	0x06, 0x01, 0xb6, 0xcb, 0x4e, 0x2f, 0xd7, 0xe1, 0xa9, 0xcd, 0xc8, 0xde, 0x40, 0xcf, 0xed, 0x7f,
+	0x36, 0x3a, 0x2c, 0x76, 0xb7, 0xd3, 0x87, 0xff, 0x9d, 0xc8, 0x70, 0xc5, 0xdc, 0x92, 0x3e, 0x54,
+	0x6c, 0xff, 0x03, 0x71, 0xa8, 0x58, 0x7b, 0xc3, 0xcf, 0x92, 0xb7, 0xa3, 0x76, 0x82, 0xd2, 0xcb,
+	0x8b, 0xa5, 0xba, 0xc8, 0xa4, 0x15, 0x5a, 0xa6, 0xc5, 0x05, 0xfe, 0xe1, 0xbe, 0x4b, 0xdf, 0xcd,
+	0xe7, 0xdf, 0x03, 0x00, 0x00, 0xff, 0xff, 0x8c, 0x11, 0x42, 0x8d, 0x46, 0x07, 0x00, 0x00,
 }
