A switch of the map has to gain what it costs

Each switch takes 0.3 s in which a shift of interests can't be answered, and passes wait for it (held 2.5 s of 34).

Change: a map has to gain 0.06 in the skew of each set beyond what its moves have to.

--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -111,6 +111,7 @@
 	}
 	k.Planner.Observe(loads)
 	if !k.fixed {
+		k.Planner.SwitchGain = switchGain * float64(k.Engine.Experts.Sets)
 		k.Planner.Threshold = threshold(k.pace.pass, k.Gap) * relativeCost(k.Engine.Experts, len(k.Members))
 	}
 	k.Planner.Paces = k.paces
--- a/internal/core/ranks/threshold.go
+++ b/internal/core/ranks/threshold.go
@@ -21,6 +21,14 @@
 	busyShare = 0.60
 )
 
+// switchGain is what a map has to gain in the skew of each set, beyond its moves,
+// to be worth a switch: one takes part of a second in which nothing else can be
+// switched to, and some passes wait for it. Trials on days of 63 ranks, where the
+// moves alone would make a switch worth it at a gain of 0.01, gave a worth of
+// 0.666 and 0.432 without it (quiet, full load), 0.794 and 0.771 with 0.08, 0.841
+// and 0.766 with 0.15.
+const switchGain = 0.06
+
 // The group that the thresholds were measured on.
 const (
 	measuredSize  = 2_200_000_000
--- a/planner/next.go
+++ b/planner/next.go
@@ -66,7 +66,7 @@
 }
 
 func newSearch(p *Planner, now, next *Placement, room Room) *search {
-	s := &search{threshold: p.threshold(), room: room, loads: make([]int, p.Shape.Ranks)}
+	s := &search{threshold: p.threshold(), bestWorth: p.SwitchGain, room: room, loads: make([]int, p.Shape.Ranks)}
 	for l := range p.Shape.Layers {
 		mean := p.smoothed[l].mean(p.Shape.Ranks)
 		if mean == 0 {
--- a/planner/next_test.go
+++ b/planner/next_test.go
@@ -132,3 +132,24 @@
 		})
 	}
 }
+
+// TestSwitchGainKeepsTheMap finds no map worth a switch whose gain is smaller than
+// what a switch has to give.
+func TestSwitchGainKeepsTheMap(t *testing.T) {
+	s := planner.Shape{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}
+	p := &planner.Planner{Shape: s, Smoothing: 1}
+	p.Observe(unevenLoads(s, 1))
+	now := planner.NewDealt(s)
+	room := planner.Room{PerLayer: 3, PerRank: 3}
+	free := p.PlanNext(now, room)
+	gain := float64(s.Layers) * (free.Before - free.After)
+	if free.Moves == 0 || gain <= 0 {
+		t.Fatalf("%d moves gain %.3f", free.Moves, gain)
+	}
+	for share, want := range map[float64]bool{0.5: true, 1.5: false} {
+		p.SwitchGain = share * gain
+		if next := p.PlanNext(now, room); next.Moves > 0 != want {
+			t.Errorf("%d moves where a switch has to give %.1f of what it can", next.Moves, share)
+		}
+	}
+}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -61,6 +61,9 @@
 	Trigger float64
 	// Staging is how many experts a rank can load beside those it holds.
 	Staging int
+	// SwitchGain is the gain in the sum of the layers' skews that a map has to give
+	// beyond what its moves have to, for PlanNext to find it worth switching to.
+	SwitchGain float64
 	// Paces is how many times slower than a healthy one each rank is, 1 or more;
 	// nil when all are healthy. PlanNext gives slower ranks less.
 	Paces []float64
