A replica whose address another one has gets no requests

Cause: after a loss of power replicas come back at their addresses with new ids, and the records of the former lives stand for three more heartbeats.

Change: of the replicas registered at one address the one that wrote last has it; the others get nothing. Test with both orders of the records and a late heartbeat.

Ruled out: the time that gateways take to read the records (they have them 0.1 s after start).

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -27,4 +27,6 @@
 	Rank  graniteknot.Rank
 	// GroupSize is how many ranks the group has.
 	GroupSize int
+	// Written is where the record stands in the store.
+	Written graniteknot.Position
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -288,3 +288,39 @@
 		t.Error("an engine that runs gets nothing")
 	}
 }
+
+// TestReplacedReplicaIsNotChosen takes a replica for ended whose address another
+// one has, in whichever order their records come, until that one is gone.
+func TestReplacedReplicaIsNotChosen(t *testing.T) {
+	record := func(id catalog.ReplicaID, at graniteknot.Position) catalog.Replica {
+		return catalog.Replica{ID: id, Service: "s", Address: "a", Written: at}
+	}
+	for _, order := range [][]catalog.Replica{
+		{record("old", 5), record("new", 9)},
+		{record("new", 9), record("old", 5)},
+	} {
+		table := &fleet.Table{}
+		for _, r := range order {
+			table.Put(r, time.Now())
+		}
+		for range 20 {
+			if got := pick(table); got != "new" {
+				t.Fatalf("chose %q", got)
+			}
+		}
+		if got := pick(table, "new"); got != "" {
+			t.Errorf("chose %q", got)
+		}
+		// A heartbeat of the ended life that comes late, and the next one of the
+		// other.
+		table.Put(record("old", 10), time.Now())
+		table.Put(record("new", 12), time.Now())
+		if got := pick(table, "new"); got != "" {
+			t.Errorf("chose %q after a late heartbeat", got)
+		}
+		table.Remove("new")
+		if got := pick(table); got != "old" {
+			t.Errorf("chose %q when the other is gone", got)
+		}
+	}
+}
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -30,7 +30,7 @@
 	defer t.mu.Unlock()
 	best := t.best(q, func(x *target) bool { return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.ID) })
 	if best == nil {
-		best = t.best(q, func(x *target) bool { return !x.replica.Draining && !slices.Contains(q.Tried, x.replica.ID) })
+		best = t.best(q, func(x *target) bool { return !x.ending() && !slices.Contains(q.Tried, x.replica.ID) })
 	}
 	if best == nil {
 		return nil
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -63,7 +63,7 @@
 	defer t.mu.Unlock()
 	list := t.services[q.Service.Name]
 	t.arrivals(q.Service.Name).note(q.Now)
-	if t.best(q, func(x *target) bool { return !x.replica.Draining }) == nil {
+	if t.best(q, func(x *target) bool { return !x.ending() }) == nil {
 		return nil, nil
 	}
 	if len(t.queues[q.Service.Name]) == 0 {
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -63,6 +63,7 @@
 		added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
 		t.targets[r.ID] = added
 		t.services[r.Service] = append(t.services[r.Service], added)
+		t.settle(r.Address)
 		return true
 	}
 	changed := old.replica.Draining != r.Draining || !old.lapsed.IsZero()
@@ -70,9 +71,28 @@
 	r.Draining = r.Draining || old.replica.Draining
 	old.replica = r
 	old.lapsed = time.Time{}
+	if old.replaced {
+		t.settle(r.Address)
+	}
 	return changed
 }
 
+// settle finds out which of the replicas that are registered at an address has
+// it now: the one that wrote last.
+func (t *Table) settle(a graniteknot.Address) {
+	var newest *target
+	for _, x := range t.targets {
+		if x.replica.Address == a && (newest == nil || x.replica.Written > newest.replica.Written) {
+			newest = x
+		}
+	}
+	for _, x := range t.targets {
+		if x.replica.Address == a {
+			x.replaced = x != newest
+		}
+	}
+}
+
 // Remove takes out a replica whose record is gone.
 func (t *Table) Remove(id catalog.ReplicaID) bool {
 	t.mu.Lock()
@@ -86,6 +106,7 @@
 		return false
 	}
 	delete(t.targets, id)
+	t.settle(old.replica.Address)
 	list := t.services[old.replica.Service]
 	for i, x := range list {
 		if x == old {
@@ -170,9 +191,12 @@
 }
 
 func (t *target) usable(now time.Time) bool {
-	return !t.replica.Draining && !t.paused(now)
+	return !t.ending() && !t.paused(now)
 }
 
+// ending tells whether a replica leaves or has ended.
+func (t *target) ending() bool { return t.replica.Draining || t.replaced }
+
 // paused tells whether a replica that failed is left alone for now.
 func (t *target) paused(now time.Time) bool {
 	return t.failures >= patience && (now.Before(t.until) || t.trial)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -32,6 +32,10 @@
 	// not be trusted; zero when it is there.
 	lapsed time.Time
 
+	// replaced tells that another replica has the address, which shows that this
+	// one has ended: its record goes only some heartbeats later.
+	replaced bool
+
 	// own are this process's requests at the replica.
 	own map[*Lease]struct{}
 	// heard is when the replica last gave this process a part of an answer.
@@ -58,7 +62,7 @@
 // Neither may a new one whose sidecar has not told yet whether it does, nor one
 // that is cut off.
 func (t *target) takes(now time.Time) bool {
-	if t.spared(now) {
+	if t.spared(now) || t.replaced {
 		return false
 	}
 	if t.load.Taken.IsZero() {
