ranks: imports in the linter's order

The commit on datagrams landed with one import group that goimports rejects; no change of behaviour. Found by make lint; nothing else was measured.

--- a/internal/core/ranks/datagram.go
+++ b/internal/core/ranks/datagram.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"google.golang.org/protobuf/proto"
+
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/wire"
