In large deployments six gateways read the store and the others ask them

Change: with more than twelve gateways six (by the hash of their names) read; each other one asks one of them every 400 ms whether the version and the sum of the replicas that it knows are still the newest. Only that is asked: whoever hears that something has changed, or gets no answer that is new enough, reads the store itself. An answer proves as much as a read that began when the question was asked, less the age of the answer, so neither a slow way nor a process that stood still makes anything look younger. The number is the setting store.readers. Tests: one reader for three gateways (a key taken away, a replica that leaves, the reader stopped); a reader cut off from the store is not believed; a follower that is vouched for.

Sites with up to twelve gateways read as before.

--- a/internal/core/directconf/config.go
+++ b/internal/core/directconf/config.go
@@ -34,6 +34,9 @@
 
 	// Store is the platform's store.
 	Store graniteknot.Address
+	// Readers is how many gateways read the store for all where there are more
+	// than twice as many; 0 has each read for itself.
+	Readers int
 	// Target is a sidecar's own replica, of TargetService.
 	Target        graniteknot.Address
 	TargetService graniteknot.Service
--- a/internal/core/directconf/parser.go
+++ b/internal/core/directconf/parser.go
@@ -35,6 +35,7 @@
 	"listen.peers":          func(c *Config, v string) string { return setAddress(&c.Peers, v) },
 	"listen.metrics":        func(c *Config, v string) string { return setAddress(&c.Metrics, v) },
 	"store.address":         func(c *Config, v string) string { return setAddress(&c.Store, v) },
+	"store.readers":         setReaders,
 	"target.address":        func(c *Config, v string) string { return setAddress(&c.Target, v) },
 	"target.service":        func(c *Config, v string) string { return setName(&c.TargetService, v) },
 	"bounds.key_age":        func(c *Config, v string) string { return setDuration(&c.KeyAge, v) },
@@ -109,4 +110,13 @@
 	return ""
 }
 
+func setReaders(c *Config, v string) string {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 {
+		return fmt.Sprintf("a whole number that is not negative, got %q", v)
+	}
+	c.Readers = n
+	return ""
+}
+
 func setExtra(c *Config, v string) string { return setNumber(&c.RetryExtra, v) }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -324,3 +324,28 @@
 		}
 	}
 }
+
+// TestDigestTellsStatesApart is the same for the same replicas in any order, and
+// differs by each replica and its word that it leaves, but not by heartbeats.
+func TestDigestTellsStatesApart(t *testing.T) {
+	same := with("a", "b").Digest()
+	if got := with("b", "a").Digest(); got != same {
+		t.Error("the order matters")
+	}
+	beating := with("a", "b")
+	beat := replica("a")
+	beat.Written = 9
+	beating.Put(beat, time.Now())
+	if beating.Digest() != same {
+		t.Error("a heartbeat matters")
+	}
+	leaving := with("a", "b")
+	word := replica("a")
+	word.Draining = true
+	leaving.Put(word, time.Now())
+	for what, other := range map[string]*fleet.Table{"leaving": leaving, "less": with("a"), "more": with("a", "b", "c")} {
+		if other.Digest() == same {
+			t.Errorf("no difference: %s", what)
+		}
+	}
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -60,6 +60,8 @@
 	socket  *presence.Socket
 	servers servers
 	group   group.Group
+	// vouching knows how old the replicas' records are.
+	vouching vouching
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 	// bounds are the settings that a reload changes; the rest of Config is fixed
@@ -91,6 +93,7 @@
 		return err
 	}
 	g.socket = socket
+	socket.Respond(g.answerPeer)
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/core/gateway/vouch.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/meter"
+	"graniteknot.org/go/internal/core/presence"
+)
+
+// In a large deployment a few gateways read the store, and the others ask them
+// whether what they know is still the newest. Only that is asked, never what is
+// newer: whoever hears that something has changed reads the store itself. An
+// answer proves as much as a read that began when the question was asked, less
+// the age of the answer: how long question and answer were on their way, or
+// either process stood still, only makes it older.
+
+const (
+	// vouchPause is the time between two questions.
+	vouchPause = 400 * time.Millisecond
+	// vouchTime bounds a question to one gateway.
+	vouchTime = 120 * time.Millisecond
+	// vouchTries is how many gateways are asked before the store is read.
+	vouchTries = 2
+	// settingsTrust is how old an answer on the configuration may be. A read waits
+	// for 1.5 s and proves what was in force at its begin, so a reader's own age is
+	// at most a little more than twice that.
+	settingsTrust = 3300 * time.Millisecond
+	// replicasTrust is how old an answer on the replicas may be, as a part of the
+	// time after which a leaving replica must get nothing.
+	replicasTrust = 0.55
+)
+
+// The questions that gateways ask each other.
+const (
+	askSettings presence.Kind = 16
+	askReplicas presence.Kind = 17
+)
+
+// The state of an answer's topic is unknown before the first read.
+var errUnread = errors.New("not read yet")
+
+// vouching knows how old the replicas' records are. The zero value has none.
+type vouching struct {
+	mu sync.Mutex
+	// proved is the start of the last read that showed the replicas' records, or
+	// of the question whose answer did, less its age.
+	proved time.Time
+	// asked counts questions, so that the readers are asked in turn.
+	asked int
+}
+
+func (v *vouching) prove(at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at.After(v.proved) {
+		v.proved = at
+	}
+}
+
+func (v *vouching) age(now time.Time) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.proved), !v.proved.IsZero()
+}
+
+func (v *vouching) turn() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asked++
+	return v.asked
+}
+
+// readers returns the gateways that read the store for the others; nil when this
+// one has to read itself.
+func (g *Gateway) readers(now time.Time) []presence.Member {
+	most := g.Config.Readers
+	all := append(g.Members.Alive(presence.RoleGateway, g.Config.Box, now), g.self())
+	if most == 0 || len(all) <= 2*most {
+		return nil
+	}
+	// The order is the same for all, and spreads over the availability zones.
+	slices.SortFunc(all, func(a, b presence.Member) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.Box)), xxhash.Sum64String(string(b.Box)))
+	})
+	for _, m := range all[:most] {
+		if m.Box == g.Config.Box {
+			return nil
+		}
+	}
+	return all[:most]
+}
+
+// settingsVouched tells whether a reader proves that the tree is the newest.
+func (g *Gateway) settingsVouched(ctx context.Context) bool {
+	tree, _ := g.Trees.Current(time.Now())
+	if tree == nil {
+		return false
+	}
+	state, at, ok := g.askReaders(ctx, askSettings, settingsTrust)
+	return ok && catalog.Version(state) == tree.Version && g.Trees.Prove(tree.Version, at)
+}
+
+// replicasVouched tells whether a reader proves that the replicas are known.
+func (g *Gateway) replicasVouched(ctx context.Context) bool {
+	trust := time.Duration(replicasTrust * float64(g.Config.Drain))
+	state, at, ok := g.askReaders(ctx, askReplicas, trust)
+	if !ok || state != uint64(g.Fleet.Digest()) {
+		return false
+	}
+	g.vouching.prove(at)
+	return true
+}
+
+// askReaders asks a reader or two for the state of a topic, and returns it with
+// the time from which on it is proved; false when none knows it well enough.
+func (g *Gateway) askReaders(ctx context.Context, kind presence.Kind, trust time.Duration) (uint64, time.Time, bool) {
+	readers := g.readers(time.Now())
+	if len(readers) == 0 {
+		return 0, time.Time{}, false
+	}
+	turn := g.vouching.turn()
+	for i := range vouchTries {
+		reader := readers[(turn+i)%len(readers)]
+		asked := time.Now()
+		state, age, err := g.askPeer(ctx, reader.Peers, kind)
+		at := asked.Add(-age)
+		if err == nil && time.Since(at) < trust {
+			g.Meter.Count("graniteknot_vouched_total", meter.Label{Name: "result", Value: "proved"})
+			return state, at, true
+		}
+		g.Meter.Count("graniteknot_vouched_total", meter.Label{Name: "result", Value: "doubted"})
+		if err == nil || ctx.Err() == nil {
+			g.Log.Info("reader doubted", slog.String("reader", string(reader.Box)), slog.Int("kind", int(kind)),
+				eventlog.Milliseconds("age", time.Since(at)), slog.Any("error", err))
+		}
+	}
+	return 0, time.Time{}, false
+}
+
+func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (uint64, time.Duration, error) {
+	short, cancel := context.WithTimeout(ctx, vouchTime)
+	defer cancel()
+	body, err := g.socket.Ask(short, to, kind, nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	return stateOf(body)
+}
+
+var errMalformed = errors.New("malformed answer")
+
+// stateOf reads an answer: a state, and its age in microseconds.
+func stateOf(body []byte) (uint64, time.Duration, error) {
+	state, n := binary.Uvarint(body)
+	if n <= 0 {
+		return 0, 0, errMalformed
+	}
+	age, m := binary.Uvarint(body[n:])
+	if m <= 0 || age > uint64(time.Hour/time.Microsecond) {
+		return 0, 0, errMalformed
+	}
+	return state, time.Duration(age) * time.Microsecond, nil
+}
+
+// answerPeer answers another gateway's question.
+func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, _ []byte) ([]byte, error) {
+	now := time.Now()
+	switch kind {
+	case askSettings:
+		tree, age := g.Trees.Current(now)
+		if tree == nil {
+			return nil, errUnread
+		}
+		return stateWith(uint64(tree.Version), age), nil
+	case askReplicas:
+		// The age is taken first: a change in between makes the state newer.
+		age, ok := g.vouching.age(now)
+		if !ok {
+			return nil, errUnread
+		}
+		return stateWith(uint64(g.Fleet.Digest()), age), nil
+	}
+	return nil, errMalformed
+}
+
+// stateWith is the inverse of stateOf; an age is rounded up.
+func stateWith(state uint64, age time.Duration) []byte {
+	out := binary.AppendUvarint(nil, state)
+	return binary.AppendUvarint(out, uint64(age/time.Microsecond)+1)
+}
--- /dev/null
+++ b/internal/core/gateway/vouch_test.go
@@ -0,0 +1,152 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/standin/keyed"
+)
+
+// vouchedFor counts the times that others proved what a gateway knows.
+func (b *box) vouchedFor() bool {
+	var figures bytes.Buffer
+	b.Meter.Write(&figures)
+	return strings.Contains(figures.String(), `graniteknot_vouched_total{result="proved"}`)
+}
+
+// TestOneReaderForAll has one of three gateways read the store: the others see a
+// key taken away, a replica that leaves and another one, and go on without the
+// reader.
+func TestOneReaderForAll(t *testing.T) {
+	store := &keyed.Store{}
+	d := &deployment{store: store, keys: []string{"k1", "k2"}}
+	first := newReplica(t, "i-1")
+	d.replica(first, false)
+	d.put()
+	var boxes []*box
+	for range 3 {
+		boxes = append(boxes, start(t, store, func(c *directconf.Config) { c.Readers = 1 }))
+	}
+	defer func() {
+		for _, b := range boxes {
+			b.stop()
+		}
+	}()
+	for _, b := range boxes {
+		eventually(t, "served", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusOK })
+	}
+	eventually(t, "two are vouched for", func() bool {
+		n := 0
+		for _, b := range boxes {
+			if b.vouchedFor() {
+				n++
+			}
+		}
+		return n == 2
+	})
+	d.keys = []string{"k2"}
+	d.put()
+	second := newReplica(t, "i-2")
+	d.replica(second, false)
+	d.replica(first, true)
+	for _, b := range boxes {
+		eventually(t, "the key is refused", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusUnauthorized })
+		eventually(t, "the other replica is used", func() bool {
+			b.ask("/repeat/x", "k2")
+			return len(second.Ran()) > 0
+		})
+	}
+	left := boxes[:0:0]
+	for _, b := range boxes {
+		if b.vouchedFor() {
+			left = append(left, b)
+			continue
+		}
+		b.stop()
+	}
+	boxes = left
+	d.keys = []string{"k3"}
+	d.put()
+	for _, b := range boxes {
+		eventually(t, "a new key is taken without the reader", func() bool { return b.ask("/repeat/x", "k3").status == http.StatusOK })
+	}
+}
+
+// cutStore is a store that one process can be cut off from.
+type cutStore struct {
+	graniteknot.KeyedStore
+
+	cut atomic.Bool
+}
+
+// Read implements graniteknot.KeyedStore.
+func (s *cutStore) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
+	if s.cut.Load() {
+		return graniteknot.KeyedPage{}, graniteknot.ErrNotDone
+	}
+	page, err := s.KeyedStore.Read(ctx, t, from, wait)
+	if s.cut.Load() {
+		return graniteknot.KeyedPage{}, graniteknot.ErrNotDone
+	}
+	return page, err
+}
+
+// Newest implements graniteknot.KeyedStore.
+func (s *cutStore) Newest(ctx context.Context, t graniteknot.Topic) (graniteknot.KeyedPage, error) {
+	if s.cut.Load() {
+		return graniteknot.KeyedPage{}, graniteknot.ErrNotDone
+	}
+	return s.KeyedStore.Newest(ctx, t)
+}
+
+// TestReaderThatIsCutOffIsNotBelieved cuts the one reader off from the store: it
+// goes on answering, but its answers grow old, and the others read for themselves.
+func TestReaderThatIsCutOffIsNotBelieved(t *testing.T) {
+	store := &keyed.Store{}
+	d := &deployment{store: store, keys: []string{"k1"}}
+	d.replica(newReplica(t, "i-1"), false)
+	d.put()
+	var boxes []*box
+	var ways []*cutStore
+	for range 3 {
+		way := &cutStore{KeyedStore: store}
+		b := start(t, way, func(c *directconf.Config) { c.Readers = 1 })
+		defer b.stop()
+		boxes, ways = append(boxes, b), append(ways, way)
+	}
+	for _, b := range boxes {
+		eventually(t, "served", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusOK })
+	}
+	reader := -1
+	eventually(t, "two are vouched for", func() bool {
+		n := 0
+		for i, b := range boxes {
+			if b.vouchedFor() {
+				n++
+			} else {
+				reader = i
+			}
+		}
+		return n == 2
+	})
+	ways[reader].cut.Store(true)
+	d.keys = []string{"k2"}
+	d.put()
+	for i, b := range boxes {
+		if i == reader {
+			eventually(t, "the reader trusts no key any more", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusServiceUnavailable })
+			continue
+		}
+		eventually(t, "the new key is taken", func() bool { return b.ask("/repeat/x", "k2").status == http.StatusOK })
+		if got := b.ask("/repeat/x", "k1").status; got != http.StatusUnauthorized {
+			t.Errorf("the key that was taken away: %d", got)
+		}
+	}
+}
