A fault soak: real gateways as processes, broken by a seed

Change: internal/soak starts gateways as separate processes on loopback, each with a proxy between it and the store's stand-in, and replicas that answer a request with its own id. A seed draws kills, planned stops, freezes, reloads, outages of the store (silent, refusing, losing answers), bad ways to it (answers held back, resets, delay), keys taken away, replicas that leave and come, and replicas that lose or refuse. Faults overlap. From what callers and replicas saw it checks: at most once, not run means not run, each caller its own whole answer, nothing runs unasked, planned work cuts nothing, keys end, leaving replicas get nothing new, and that all gateways serve again. Processes end with the thread that started them.

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -32,7 +32,7 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait,
-		Newest: g.takeSettings, Next: g.takeSettings, Vouched: g.settingsVouched, VouchPause: vouchPause,
+		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, RevalidatePause: revalidatePause,
 	}
 	f.Run(ctx)
 }
@@ -71,7 +71,7 @@
 func (g *Gateway) followReplicas(ctx context.Context) {
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
-		Newest: g.resetReplicas, Next: g.takeReplicas, Vouched: g.replicasVouched, VouchPause: vouchPause,
+		Newest: g.resetReplicas, Next: g.takeReplicas, Revalidate: g.revalidateReplicas, RevalidatePause: revalidatePause,
 	}
 	f.Run(ctx)
 }
@@ -92,7 +92,7 @@
 
 func (g *Gateway) takeReplicas(records []graniteknot.KeyedRecord, began time.Time) {
 	now := time.Now()
-	defer g.vouching.prove(began)
+	defer g.validity.prove(began)
 	for _, r := range records {
 		if len(r.Value) == 0 {
 			g.vanished(catalog.ReplicaID(r.Key))
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -60,8 +60,8 @@
 	socket  *presence.Socket
 	servers servers
 	group   group.Group
-	// vouching knows how old the replicas' records are.
-	vouching vouching
+	// validity knows how old the replicas' records are.
+	validity validity
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 	// bounds are the settings that a reload changes; the rest of Config is fixed
--- a/internal/core/gateway/vouch.go
+++ b/internal/core/gateway/revalidate.go
@@ -27,12 +27,12 @@
 // either process stood still, only makes it older.
 
 const (
-	// vouchPause is the time between two questions.
-	vouchPause = 400 * time.Millisecond
-	// vouchTime bounds a question to one gateway.
-	vouchTime = 120 * time.Millisecond
-	// vouchTries is how many gateways are asked before the store is read.
-	vouchTries = 2
+	// revalidatePause is the time between two questions.
+	revalidatePause = 400 * time.Millisecond
+	// revalidateTime bounds a question to one gateway.
+	revalidateTime = 120 * time.Millisecond
+	// revalidateTries is how many gateways are asked before the store is read.
+	revalidateTries = 2
 	// settingsTrust is how old an answer on the configuration may be. A read waits
 	// for 1.5 s and proves what was in force at its begin, so a reader's own age is
 	// at most a little more than twice that.
@@ -51,8 +51,8 @@
 // The state of an answer's topic is unknown before the first read.
 var errUnread = errors.New("not read yet")
 
-// vouching knows how old the replicas' records are. The zero value has none.
-type vouching struct {
+// validity knows how old the replicas' records are. The zero value has none.
+type validity struct {
 	mu sync.Mutex
 	// proved is the start of the last read that showed the replicas' records, or
 	// of the question whose answer did, less its age.
@@ -61,7 +61,7 @@
 	asked int
 }
 
-func (v *vouching) prove(at time.Time) {
+func (v *validity) prove(at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at.After(v.proved) {
@@ -69,13 +69,13 @@
 	}
 }
 
-func (v *vouching) age(now time.Time) (time.Duration, bool) {
+func (v *validity) age(now time.Time) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return now.Sub(v.proved), !v.proved.IsZero()
 }
 
-func (v *vouching) turn() int {
+func (v *validity) turn() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.asked++
@@ -102,8 +102,8 @@
 	return all[:most]
 }
 
-// settingsVouched tells whether a reader proves that the tree is the newest.
-func (g *Gateway) settingsVouched(ctx context.Context) bool {
+// revalidateSettings tells whether a reader proves that the tree is the newest.
+func (g *Gateway) revalidateSettings(ctx context.Context) bool {
 	tree, _ := g.Trees.Current(time.Now())
 	if tree == nil {
 		return false
@@ -112,14 +112,14 @@
 	return ok && catalog.Version(state) == tree.Version && g.Trees.Prove(tree.Version, at)
 }
 
-// replicasVouched tells whether a reader proves that the replicas are known.
-func (g *Gateway) replicasVouched(ctx context.Context) bool {
+// revalidateReplicas tells whether a reader proves that the replicas are known.
+func (g *Gateway) revalidateReplicas(ctx context.Context) bool {
 	trust := time.Duration(replicasTrust * float64(g.Config.Drain))
 	state, at, ok := g.askReaders(ctx, askReplicas, trust)
 	if !ok || state != uint64(g.Fleet.Digest()) {
 		return false
 	}
-	g.vouching.prove(at)
+	g.validity.prove(at)
 	return true
 }
 
@@ -130,17 +130,17 @@
 	if len(readers) == 0 {
 		return 0, time.Time{}, false
 	}
-	turn := g.vouching.turn()
-	for i := range vouchTries {
+	turn := g.validity.turn()
+	for i := range revalidateTries {
 		reader := readers[(turn+i)%len(readers)]
 		asked := time.Now()
 		state, age, err := g.askPeer(ctx, reader.Peers, kind)
 		at := asked.Add(-age)
 		if err == nil && time.Since(at) < trust {
-			g.Meter.Count("graniteknot_vouched_total", meter.Label{Name: "result", Value: "proved"})
+			g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "proved"})
 			return state, at, true
 		}
-		g.Meter.Count("graniteknot_vouched_total", meter.Label{Name: "result", Value: "doubted"})
+		g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "doubted"})
 		if err == nil || ctx.Err() == nil {
 			g.Log.Info("reader doubted", slog.String("reader", string(reader.Box)), slog.Int("kind", int(kind)),
 				eventlog.Milliseconds("age", time.Since(at)), slog.Any("error", err))
@@ -150,7 +150,7 @@
 }
 
 func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (uint64, time.Duration, error) {
-	short, cancel := context.WithTimeout(ctx, vouchTime)
+	short, cancel := context.WithTimeout(ctx, revalidateTime)
 	defer cancel()
 	body, err := g.socket.Ask(short, to, kind, nil)
 	if err != nil {
@@ -186,7 +186,7 @@
 		return stateWith(uint64(tree.Version), age), nil
 	case askReplicas:
 		// The age is taken first: a change in between makes the state newer.
-		age, ok := g.vouching.age(now)
+		age, ok := g.validity.age(now)
 		if !ok {
 			return nil, errUnread
 		}
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -30,32 +30,32 @@
 	// which there may be none; the read that returned them began at the time.
 	Newest func(records []graniteknot.KeyedRecord, began time.Time)
 	Next   func(records []graniteknot.KeyedRecord, began time.Time)
-	// Vouched tells whether another process proves that nothing has changed since
-	// the last read; then the store is not asked, and the next look comes after
-	// VouchPause. Nil where nobody does.
-	Vouched    func(ctx context.Context) bool
-	VouchPause time.Duration
+	// Revalidate tells whether another process proves that nothing has changed
+	// since the last read; then the store is not asked, and the next look comes
+	// after RevalidatePause. Nil where nobody does.
+	Revalidate      func(ctx context.Context) bool
+	RevalidatePause time.Duration
 	// Failed notes a failed call; nil for nothing.
 	Failed func(err error)
 
 	synced bool
 	from   graniteknot.Position
 	retry  time.Duration
-	// vouched tells that the last look did not ask the store.
-	vouched bool
+	// revalidated tells that the last look did not ask the store.
+	revalidated bool
 }
 
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.synced && f.Vouched != nil && f.Vouched(ctx) {
-			f.vouched = true
-			delay.For(ctx, f.VouchPause)
+		if f.synced && f.Revalidate != nil && f.Revalidate(ctx) {
+			f.revalidated = true
+			delay.For(ctx, f.RevalidatePause)
 			continue
 		}
-		if f.vouched {
+		if f.revalidated {
 			// The records since the last read may be many, the newest ones are few.
-			f.vouched, f.synced = false, false
+			f.revalidated, f.synced = false, false
 		}
 		pause := f.Pause
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
--- /dev/null
+++ b/internal/soak/call.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"graniteknot.org/go/platform/platformtest"
+)
+
+// callTime bounds one call.
+const callTime = 25 * time.Second
+
+// call is what a caller saw of one request.
+type call struct {
+	id   string
+	once bool
+	key  *key
+	// gateway is the process that it was sent to, at the time.
+	gateway *process
+	sent    time.Time
+	ended   time.Time
+	// status is 0 without a whole answer.
+	status int
+	body   string
+	// calm tells that no unplanned fault touched the gateway meanwhile.
+	calm bool
+	// seeing tells that the gateway could read the store for long enough to know
+	// which replicas leave.
+	seeing bool
+}
+
+// caller sends requests one after the other, over connections that it keeps.
+type caller struct {
+	name   string
+	choose func(n int) int
+	// key returns the key of the next call.
+	key    func() *key
+	client *http.Client
+
+	mu    sync.Mutex
+	calls []*call
+}
+
+func newCaller(n int, w *world, choose func(int) int) *caller {
+	return &caller{
+		name: fmt.Sprint("c", n), choose: choose, key: func() *key { return w.key(choose(recentKeys)) },
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
+	}
+}
+
+// run calls the gateways until ctx is done.
+func (c *caller) run(ctx context.Context, gateways []*process) {
+	for i := 0; ctx.Err() == nil; i++ {
+		c.one(ctx, i, gateways[c.choose(len(gateways))])
+		time.Sleep(time.Duration(c.choose(20)) * time.Millisecond)
+	}
+	c.client.CloseIdleConnections()
+}
+
+func (c *caller) one(ctx context.Context, i int, to *process) {
+	x := &call{id: fmt.Sprintf("%s-%d", c.name, i), once: c.choose(2) == 0, key: c.key(), gateway: to}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	path := "/repeat/x"
+	if x.once {
+		path = "/once/x"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to.requests)+path, http.NoBody)
+	if err != nil {
+		return
+	}
+	// net/http would send it again by itself after a broken connection.
+	r.GetBody = nil
+	r.Host = host
+	platformtest.Sign(r, x.id, x.key.text)
+	x.sent = time.Now()
+	x.status, x.body = c.ask(r)
+	x.ended = time.Now()
+	x.seeing = to.sees(x.sent.Add(-drainTime - slack))
+	x.calm = to.calm(x.sent) && ctx.Err() == nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls = append(c.calls, x)
+}
+
+// ask returns a whole answer, or a status of 0.
+func (c *caller) ask(r *http.Request) (int, string) {
+	answer, err := c.client.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return answer.StatusCode, string(body)
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"graniteknot.org/go/platform/platformtest"
+)
+
+// Finding is a promise that was broken.
+type Finding struct {
+	Promise string
+	Request string
+	Detail  string
+}
+
+// String returns the finding in a line.
+func (f Finding) String() string { return f.Promise + ": request " + f.Request + ": " + f.Detail }
+
+// run is one run of a request at a replica.
+type run struct {
+	at      *standing
+	arrived time.Time
+}
+
+// check compares what callers saw with what replicas ran.
+func check(w *world, calls []*call) []Finding {
+	ran := map[string][]run{}
+	for _, r := range w.all {
+		for _, x := range r.Runs() {
+			id := platformtest.RequestID(x.Request)
+			ran[id] = append(ran[id], run{at: r, arrived: x.At})
+		}
+	}
+	var out []Finding
+	known := map[string]bool{}
+	for _, c := range calls {
+		known[c.id] = true
+		out = append(out, checkCall(c, ran[c.id])...)
+	}
+	for id := range ran {
+		if !known[id] {
+			out = append(out, Finding{"nothing runs unasked", id, "no caller sent it"})
+		}
+	}
+	return out
+}
+
+func checkCall(c *call, ran []run) []Finding {
+	var out []Finding
+	add := func(promise, format string, args ...any) {
+		out = append(out, Finding{promise, c.id, fmt.Sprintf(format, args...)})
+	}
+	if c.once && len(ran) > 1 {
+		add("at most once", "ran %d times", len(ran))
+	}
+	if c.once && len(ran) > 0 && saysNotRun(c.status) {
+		add("not run means not run", "answered %d, ran at %s", c.status, ran[0].at.ID)
+	}
+	if c.status == http.StatusOK && c.body != answerTo(c.id) {
+		add("its own whole answer", "got %q", c.body)
+	}
+	if c.status == 0 && c.calm && len(ran) > 0 {
+		add("planned work cuts nothing", "no answer after %v from %s, ran at %s", c.ended.Sub(c.sent), c.gateway.box, ran[0].at.ID)
+	}
+	if removed := c.key.removed; len(ran) > 0 && !removed.IsZero() && c.sent.After(removed.Add(keyAge)) {
+		add("keys end", "sent %v after its key was taken away", c.sent.Sub(removed))
+	}
+	for _, r := range ran {
+		if leaving := r.at.leaving; !leaving.IsZero() && c.calm && c.seeing && r.arrived.After(leaving.Add(drainTime+slack)) {
+			add("leaving targets get nothing new", "reached %s %v after its word", r.at.ID, r.arrived.Sub(leaving))
+		}
+	}
+	return out
+}
+
+// saysNotRun tells whether a status promises that the request did not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/fault.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"graniteknot.org/go/internal/standin/keyed"
+)
+
+// fault is one thing that goes wrong, or that operators do.
+type fault struct {
+	at    time.Duration
+	name  string
+	begin func()
+	// end undoes it after a time; nil where nothing has to be undone.
+	end     func()
+	lasting time.Duration
+}
+
+// mostLasting bounds a fault; several may overlap.
+const mostLasting = 7 * time.Second
+
+// schedule draws the faults of a run from its seed.
+func schedule(random *rand.Rand, count int, span time.Duration, w *world, gateways []*process) []fault {
+	var out []fault
+	for range count {
+		f := draw(random, w, gateways)
+		f.at = time.Duration(random.Int64N(int64(span)))
+		out = append(out, f)
+	}
+	return out
+}
+
+// draw draws one fault.
+func draw(random *rand.Rand, w *world, gateways []*process) fault {
+	i := random.IntN(len(gateways))
+	g := gateways[i]
+	lasting := time.Second + time.Duration(random.Int64N(int64(mostLasting-time.Second)))
+	on := func(what string) string { return fmt.Sprintf("%s gateway %d", what, i) }
+	switch random.IntN(13) {
+	case 0:
+		return fault{name: on("kill"), begin: func() { g.signal(syscall.SIGKILL, startTime) }}
+	case 1:
+		return fault{name: on("stop"), begin: func() { g.signal(syscall.SIGTERM, 0) }}
+	case 2, 3:
+		return fault{
+			name: on("freeze"), begin: func() { g.signal(syscall.SIGSTOP, lasting+startTime) },
+			end: func() { g.signal(syscall.SIGCONT, 0) }, lasting: lasting,
+		}
+	case 4:
+		n := random.IntN(100)
+		return fault{name: on("reload"), begin: func() {
+			if g.write(n) == nil {
+				g.signal(syscall.SIGHUP, 0)
+			}
+		}}
+	case 5, 6:
+		return storeFault(random, w, gateways, lasting)
+	case 7, 8:
+		mode := proxyMode(1 + random.IntN(3))
+		return fault{name: on(fmt.Sprint("way to the store ", mode, " of")), begin: func() {
+			g.blindFor(lasting)
+			g.proxy.set(mode)
+		}, end: func() { g.proxy.set(proxyPass) }, lasting: lasting}
+	case 9, 10:
+		return fault{name: "revoke a key", begin: w.revoke}
+	case 11:
+		return fault{name: "replace a replica", begin: func() {
+			// Without one more port the run goes on with those that stand.
+			_ = w.replace()
+		}}
+	default:
+		n := random.IntN(1 << 20)
+		return fault{
+			name: "fickle replica", begin: func() { w.replica(n).Always(fickle()) },
+			end: func() { w.steady() }, lasting: lasting,
+		}
+	}
+}
+
+func storeFault(random *rand.Rand, w *world, gateways []*process, lasting time.Duration) fault {
+	kind := []keyed.Fault{keyed.FaultSilent, keyed.FaultRefuse, keyed.FaultLose}[random.IntN(3)]
+	return fault{
+		name: fmt.Sprint("store ", kind), begin: func() {
+			for _, g := range gateways {
+				g.blindFor(lasting)
+			}
+			w.store.Records.Set(kind)
+		},
+		end: func() { w.store.Records.Set(keyed.FaultNone) }, lasting: lasting,
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/group"
+)
+
+const (
+	// restartPause is how long a process that ended is away.
+	restartPause = 300 * time.Millisecond
+	// stopBound bounds a planned stop in the gateways' settings.
+	stopBound = 8 * time.Second
+)
+
+// process is one gateway. It is started again whenever it ends, until close.
+type process struct {
+	box      graniteknot.BoxName
+	requests graniteknot.Address
+	proxy    *proxy
+	binary   string
+	settings string
+	log      *os.File
+	group    group.Group
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	closed  bool
+	// rough is when the last unplanned fault of the process ended or will end;
+	// answers that are missing until shortly after prove nothing.
+	rough time.Time
+	// blind is when the process, cut off from the store, can read it again for
+	// sure.
+	blind time.Time
+	// frozen tells that the process is stopped by a signal.
+	frozen bool
+}
+
+func newProcess(ctx context.Context, binary, dir, ip string, store graniteknot.Address) (*process, error) {
+	way, err := newProxy(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		box: graniteknot.BoxName(ip), requests: graniteknot.Address(ip + ":18001"), proxy: way, binary: binary,
+		settings: filepath.Join(dir, ip+".ini"),
+	}
+	if p.log, err = os.Create(filepath.Join(dir, ip+".log")); err != nil {
+		return nil, err
+	}
+	if err := p.write(0); err != nil {
+		return nil, err
+	}
+	p.rough = time.Now().Add(startTime)
+	p.group.Go(p.run)
+	return p, nil
+}
+
+// write writes the settings; each reload gets another bound on answers.
+func (p *process) write(reloads int) error {
+	text := fmt.Sprintf(`[process]
+role = gateway
+box = %[1]s
+zone = z
+stop_bound = %[2]s
+[listen]
+requests = %[1]s:18001
+readiness = %[1]s:18002
+directory = %[1]s:18003
+peers = %[1]s:18004
+[store]
+address = %[3]s
+[bounds]
+key_age = %[4]s
+drain = %[5]s
+answer_life = %[6]ds
+[retries]
+share = 0.2
+extra = 90
+`, p.box, stopBound, p.proxy.address(), keyAge, drainTime, 2+reloads%3)
+	return os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// run starts the process again and again.
+func (p *process) run(ctx context.Context) {
+	// The kernel ends the process with the thread that started it, so that none is
+	// left behind whatever becomes of the soak.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for ctx.Err() == nil {
+		command := exec.CommandContext(ctx, p.binary, "gateway", "--config", p.settings) //nolint:gosec // The program is the caller's own.
+		command.Stdout, command.Stderr = p.log, p.log
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		p.mu.Lock()
+		if p.closed {
+			p.mu.Unlock()
+			return
+		}
+		err := command.Start()
+		p.command = command
+		p.mu.Unlock()
+		if err == nil {
+			// How it ended is in its log; killed ones end with an error.
+			_ = command.Wait()
+		}
+		time.Sleep(restartPause)
+	}
+}
+
+// signal sends a signal to the process, if it runs. A fault is rough unless it
+// is a part of planned work.
+func (p *process) signal(s syscall.Signal, rough time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if rough > 0 {
+		p.roughUntil(time.Now().Add(rough))
+	}
+	p.frozen = s == syscall.SIGSTOP || p.frozen && s != syscall.SIGCONT
+	if p.command != nil && p.command.Process != nil {
+		// One that has just ended is started again anyway.
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// roughUntil is called with the lock held.
+func (p *process) roughUntil(at time.Time) {
+	if at.After(p.rough) {
+		p.rough = at
+	}
+}
+
+// calm tells whether no unplanned fault touched the process since a time.
+func (p *process) calm(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.frozen && p.rough.Before(since)
+}
+
+// blindFor notes that the process can't read the store for a time.
+func (p *process) blindFor(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at := time.Now().Add(d); at.After(p.blind) {
+		p.blind = at
+	}
+}
+
+// sees tells whether the process could read the store all the while since a time.
+func (p *process) sees(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.blind.Before(since)
+}
+
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT, 0)
+	p.group.Stop()
+	p.proxy.close()
+	_ = p.log.Close()
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"graniteknot.org/go/internal/group"
+)
+
+// Options say what a run is.
+type Options struct {
+	// Binary is the program.
+	Binary string
+	// Dir is where settings and logs are written.
+	Dir  string
+	Seed uint64
+	// Gateways, Replicas and Callers are how many there are; zeros stand for 3, 3
+	// and 8.
+	Gateways, Replicas, Callers int
+	// Faults is how many faults there are in the span; then all end, and all
+	// gateways have to serve again.
+	Faults int
+	Span   time.Duration
+	// Say is told each fault; nil for nobody.
+	Say func(string)
+}
+
+// Result is what a run showed.
+type Result struct {
+	Calls, Answered, NotRun, Other int
+	Findings                       []Finding
+}
+
+// recoverTime is how long gateways take to serve again, at most.
+const recoverTime = 30 * time.Second
+
+// errNeverServed is a system that does not serve before any fault.
+var errNeverServed = errors.New("the gateways never served")
+
+// Run plays one seed.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o.Gateways, o.Replicas, o.Callers = cmp.Or(o.Gateways, 3), cmp.Or(o.Replicas, 3), cmp.Or(o.Callers, 8)
+	w, err := newWorld(o.Replicas)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	gateways, err := start(ctx, &o, w)
+	defer func() {
+		for _, g := range gateways {
+			g.close()
+		}
+	}()
+	if err != nil {
+		return nil, err
+	}
+	if !serving(ctx, w, gateways, "before") {
+		return nil, errNeverServed
+	}
+	calls, findings := play(ctx, &o, w, gateways)
+	calls = append(calls, w.probes...)
+	findings = append(findings, check(w, calls)...)
+	return sum(calls, findings), nil
+}
+
+func start(ctx context.Context, o *Options, w *world) ([]*process, error) {
+	var out []*process
+	for i := range o.Gateways {
+		pid := os.Getpid()
+		ip := fmt.Sprintf("127.%d.%d.%d", 2+pid%60, (pid/60)%250+1, i+1)
+		p, err := newProcess(ctx, o.Binary, o.Dir, ip, w.store.Address())
+		if err != nil {
+			return out, err
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// play calls the gateways while the faults come and go.
+func play(ctx context.Context, o *Options, w *world, gateways []*process) ([]*call, []Finding) {
+	calling, stop := context.WithCancel(ctx)
+	var load group.Group
+	callers := make([]*caller, o.Callers)
+	for i := range callers {
+		random := rand.New(rand.NewPCG(o.Seed, uint64(i)+1))
+		callers[i] = newCaller(i, w, random.IntN)
+		load.Go(func(context.Context) { callers[i].run(calling, gateways) })
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
+	var findings []Finding
+	if !serving(ctx, w, gateways, "after") {
+		findings = append(findings, Finding{"all serve again", "-", fmt.Sprintf("not within %v of the last fault", recoverTime)})
+	}
+	stop()
+	load.Wait()
+	var calls []*call
+	for _, c := range callers {
+		calls = append(calls, c.calls...)
+	}
+	return calls, findings
+}
+
+// suffer brings the faults about and ends them all.
+func suffer(ctx context.Context, o *Options, faults []fault) {
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	began := time.Now()
+	var ends sync.WaitGroup
+	for _, f := range faults {
+		wait(ctx, time.Until(began.Add(f.at)))
+		if o.Say != nil {
+			o.Say(fmt.Sprintf("%7.3f s  %s for %v", time.Since(began).Seconds(), f.name, f.lasting))
+		}
+		f.begin()
+		if f.end != nil {
+			ends.Go(func() {
+				wait(ctx, f.lasting)
+				f.end()
+			})
+		}
+	}
+	ends.Wait()
+	wait(ctx, time.Until(began.Add(o.Span)))
+}
+
+// serving waits until every gateway answers a request.
+func serving(ctx context.Context, w *world, gateways []*process, when string) bool {
+	ctx, cancel := context.WithTimeout(ctx, recoverTime)
+	defer cancel()
+	for i, g := range gateways {
+		c := newCaller(0, w, func(int) int { return 0 })
+		c.key = w.newestKey
+		c.name = fmt.Sprint("probe-", when, "-", i)
+		for n := 0; ; n++ {
+			c.one(ctx, n, g)
+			if ctx.Err() != nil {
+				return false
+			}
+			if last := c.calls[len(c.calls)-1]; last.status == 200 {
+				break
+			}
+			wait(ctx, 100*time.Millisecond)
+		}
+		w.probed(c.calls)
+	}
+	return true
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(max(0, d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func sum(calls []*call, findings []Finding) *Result {
+	r := &Result{Calls: len(calls), Findings: findings}
+	for _, c := range calls {
+		switch {
+		case c.status == 200:
+			r.Answered++
+		case saysNotRun(c.status):
+			r.NotRun++
+		default:
+			r.Other++
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+// The settings that the promises count in.
+const (
+	keyAge    = 5 * time.Second
+	drainTime = 2 * time.Second
+	// startTime is how long a started process takes to serve, at most.
+	startTime = 5 * time.Second
+	// slack is added to each bound, for a machine that is busy.
+	slack = 8 * time.Second
+)
+
+const (
+	host    = "h.example"
+	service = "s"
+	// workTime is how long a replica works on a request.
+	workTime = 30 * time.Millisecond
+)
+
+// world is what the gateways see: the store, the replicas and the accounts' keys.
+type world struct {
+	store *platformtest.Store
+
+	mu       sync.Mutex
+	version  int
+	born     int
+	replicas []*standing
+	// all are the replicas that ever were.
+	all  []*standing
+	keys []*key
+	// probes are the calls that found out whether gateways serve.
+	probes []*call
+}
+
+// standing is one replica.
+type standing struct {
+	*platformtest.Replica
+	// leaving is when the store took its word that it leaves; zero before.
+	leaving time.Time
+}
+
+// key is one key of the account.
+type key struct {
+	text string
+	// removed is when the store took the configuration without it; zero before.
+	removed time.Time
+}
+
+func newWorld(replicas int) (*world, error) {
+	w := &world{store: platformtest.NewStore()}
+	for range 2 {
+		w.addKey()
+	}
+	for range replicas {
+		if err := w.addReplica(); err != nil {
+			return nil, err
+		}
+	}
+	w.configure()
+	return w, nil
+}
+
+// work answers a request with its own id.
+func work(x *platformtest.Exchange) {
+	x.Run()
+	time.Sleep(workTime)
+	body := answerTo(platformtest.RequestID(x.Request))
+	x.Head(http.StatusOK, len(body), platformtest.Seal)
+	x.Write(body)
+}
+
+// answerTo is the one right answer to a request.
+func answerTo(id string) string { return "answer to " + id }
+
+// fickle loses, refuses or fails every third request.
+func fickle() platformtest.Script {
+	var mu sync.Mutex
+	n := 0
+	bad := []platformtest.Script{platformtest.Lose, platformtest.NotRun(http.StatusServiceUnavailable), platformtest.Fail(http.StatusInternalServerError)}
+	return func(x *platformtest.Exchange) {
+		mu.Lock()
+		n++
+		turn := n
+		mu.Unlock()
+		if turn%3 == 0 {
+			bad[turn/3%len(bad)](x)
+			return
+		}
+		work(x)
+	}
+}
+
+// addReplica registers a new replica.
+func (w *world) addReplica() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born++
+	r, err := platformtest.NewReplica(fmt.Sprintf("i-%d", w.born))
+	if err != nil {
+		return err
+	}
+	r.Always(work)
+	s := &standing{Replica: r}
+	w.replicas = append(w.replicas, s)
+	w.all = append(w.all, s)
+	w.put(r.ID, platformtest.Record(service, r.Address(), false))
+	return nil
+}
+
+// put writes a replica's record: the replicas reach the store whatever gateways
+// do.
+func (w *world) put(id string, record []byte) {
+	w.store.Records.Put(graniteknot.TopicReplicas, id, record)
+}
+
+// replace has the oldest replica leave and a new one come.
+func (w *world) replace() error {
+	if err := w.addReplica(); err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	oldest := w.replicas[0]
+	w.replicas = w.replicas[1:]
+	w.put(oldest.ID, platformtest.Record(service, oldest.Address(), true))
+	oldest.leaving = time.Now()
+	return nil
+}
+
+// replica returns one of the replicas that do not leave.
+func (w *world) replica(i int) *standing {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.replicas[i%len(w.replicas)]
+}
+
+func (w *world) addKey() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.keys = append(w.keys, &key{text: fmt.Sprintf("key-%d", len(w.keys))})
+}
+
+// configure writes a configuration with the keys in force.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	var keys []string
+	for _, k := range w.keys {
+		if k.removed.IsZero() {
+			keys = append(keys, k.text)
+		}
+	}
+	w.store.Records.Put(graniteknot.TopicSettings, "config", platformtest.Config(w.version, host, service, keys))
+}
+
+// revoke takes the oldest key away and gives a new one.
+func (w *world) revoke() {
+	w.addKey()
+	w.mu.Lock()
+	var taken *key
+	for _, k := range w.keys {
+		if k.removed.IsZero() {
+			taken = k
+			break
+		}
+	}
+	taken.removed = time.Now()
+	w.mu.Unlock()
+	w.configure()
+	w.mu.Lock()
+	taken.removed = time.Now()
+	w.mu.Unlock()
+}
+
+// recentKeys is among how many keys callers choose: two are in force.
+const recentKeys = 4
+
+// key returns one of the last few keys, in force or not.
+func (w *world) key(i int) *key {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := w.keys[max(0, len(w.keys)-recentKeys):]
+	return last[i%len(last)]
+}
+
+// newestKey returns a key that is in force.
+func (w *world) newestKey() *key {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.keys[len(w.keys)-1]
+}
+
+// steady has all replicas answer as they should.
+func (w *world) steady() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.replicas {
+		r.Always(work)
+	}
+}
+
+// probed keeps calls that were made beside the load.
+func (w *world) probed(calls []*call) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.probes = append(w.probes, calls...)
+}
+
+func (w *world) close() {
+	for _, r := range w.all {
+		r.Close()
+	}
+	w.store.Close()
+}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -22,7 +22,7 @@
 }
 
 // TakeInDebt takes an amount that may be larger than the burst as soon as
-// there is anything; what is owed is paid before the next.
+// there is anything; what a bucket is below zero is made up for before the next.
 func (b *Bucket) TakeInDebt(now time.Time, rate, amount float64) float64 {
 	b.fill(now, rate)
 	if b.held <= 0 {
