A gateway that the store turns away goes on by its peers' word

Cause: a box that only the store refused trusted its last read for 5 s and then refused all requests with keys, although the gateways beside it read the store every second.

Change: while the store does not answer it, a gateway asks the others what the large deployments ask their readers: whether its configuration and its replicas are still the newest. It calls the store itself every 1.5 s. A newer configuration that it can't read ends its trust as before. Tests: one of two gateways cut off serves for longer than it trusts its own read, and refuses once a key is taken away; a follower whose read failed in between is still revalidated (it was not, at first: the test of the gateway found it).

--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -20,7 +20,8 @@
 )
 
 // In a large deployment a few gateways read the store, and the others ask them
-// whether what they know is still the newest. Only that is asked, never what is
+// whether what they know is still the newest. In any deployment a gateway that the
+// store does not answer asks those that it may answer. Only that is asked, never what is
 // newer: whoever hears that something has changed reads the store itself. An
 // answer proves as much as a read that began when the question was asked, less
 // the age of the answer: how long question and answer were on their way, or
@@ -33,6 +34,9 @@
 	revalidateTime = 120 * time.Millisecond
 	// revalidateTries is how many gateways are asked before the store is read.
 	revalidateTries = 2
+	// probePeriod is the time between two calls to a store that does not answer
+	// while other gateways prove what is known.
+	probePeriod = 1500 * time.Millisecond
 	// settingsTrust is how old an answer on the configuration may be. A read waits
 	// for 1.5 s and proves what was in force at its begin, so a reader's own age is
 	// at most a little more than twice that.
@@ -59,6 +63,23 @@
 	proved time.Time
 	// asked counts questions, so that the readers are asked in turn.
 	asked int
+	// probed is when each topic's records were last read, or tried to be read,
+	// while the store did not answer.
+	probed map[presence.Kind]time.Time
+}
+
+// probeDue tells whether a store that does not answer is to be called again.
+func (v *validity) probeDue(kind presence.Kind, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.probed == nil {
+		v.probed = map[presence.Kind]time.Time{}
+	}
+	if now.Sub(v.probed[kind]) < probePeriod {
+		return false
+	}
+	v.probed[kind] = now
+	return true
 }
 
 func (v *validity) prove(at time.Time) {
@@ -102,6 +123,18 @@
 	return all[:most]
 }
 
+// provers returns the gateways to ask about a topic; nil when the store is to be
+// read.
+func (g *Gateway) provers(kind presence.Kind, now time.Time) []presence.Member {
+	if readers := g.readers(now); readers != nil {
+		return readers
+	}
+	if _, up := g.Health.Back(); up || g.validity.probeDue(kind, now) {
+		return nil
+	}
+	return g.Members.Alive(presence.RoleGateway, g.Config.Box, now)
+}
+
 // revalidateSettings tells whether a reader proves that the tree is the newest.
 func (g *Gateway) revalidateSettings(ctx context.Context) bool {
 	tree, _ := g.Trees.Current(time.Now())
@@ -126,7 +159,7 @@
 // askReaders asks a reader or two for the state of a topic, and returns it with
 // the time from which on it is proved; false when none knows it well enough.
 func (g *Gateway) askReaders(ctx context.Context, kind presence.Kind, trust time.Duration) (uint64, time.Time, bool) {
-	readers := g.readers(time.Now())
+	readers := g.provers(kind, time.Now())
 	if len(readers) == 0 {
 		return 0, time.Time{}, false
 	}
--- a/internal/core/gateway/revalidate_test.go
+++ b/internal/core/gateway/revalidate_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,11 +15,20 @@
 	"graniteknot.org/go/internal/standin/keyed"
 )
 
-// revalidated counts the times that others proved what a gateway knows.
-func (b *box) revalidated() bool {
+// revalidated tells whether others proved what a gateway knows.
+func (b *box) revalidated() bool { return b.proofs() > 0 }
+
+// proofs counts the times that others proved what a gateway knows.
+func (b *box) proofs() int {
 	var figures bytes.Buffer
 	b.Meter.Write(&figures)
-	return strings.Contains(figures.String(), `graniteknot_revalidations_total{result="proved"}`)
+	for line := range strings.Lines(figures.String()) {
+		count, found := strings.CutPrefix(line, `graniteknot_revalidations_total{result="proved"} `)
+		if n, err := strconv.Atoi(strings.TrimSpace(count)); found && err == nil {
+			return n
+		}
+	}
+	return 0
 }
 
 // TestOneReaderForAll has one of three gateways read the store: the others see a
@@ -106,6 +116,33 @@
 	return s.KeyedStore.Newest(ctx, t)
 }
 
+// TestGatewayGoesOnByItsPeers cuts one gateway off from the store, and not from the
+// others: it goes on serving keys for longer than it trusts its own last read, and
+// refuses them once there is a configuration that it can't read.
+func TestGatewayGoesOnByItsPeers(t *testing.T) {
+	store := &keyed.Store{}
+	d := &deployment{store: store, keys: []string{"k1"}}
+	d.replica(newReplica(t, "i-1"), false)
+	d.put()
+	way := &cutStore{KeyedStore: store}
+	cut := start(t, way, nil)
+	defer cut.stop()
+	other := start(t, store, nil)
+	defer other.stop()
+	eventually(t, "served", func() bool { return cut.ask("/repeat/x", "k1").status == http.StatusOK })
+	eventually(t, "the other is known", func() bool { return len(cut.listed()) == 2 })
+	way.cut.Store(true)
+	// Questions come 0.4 s apart, for two topics, so this many take longer
+	// than a key is trusted for.
+	eventually(t, "peers prove the configuration", func() bool { return cut.proofs() > 30 })
+	eventually(t, "served by the peers' word", func() bool { return cut.ask("/repeat/x", "k1").status == http.StatusOK })
+	d.keys = []string{"k2"}
+	d.put()
+	eventually(t, "refused", func() bool { return cut.ask("/repeat/x", "k1").status == http.StatusServiceUnavailable })
+	way.cut.Store(false)
+	eventually(t, "the new key is taken", func() bool { return cut.ask("/repeat/x", "k2").status == http.StatusOK })
+}
+
 // TestReaderThatIsCutOffIsNotBelieved cuts the one reader off from the store: it
 // goes on answering, but its answers grow old, and the others read for themselves.
 func TestReaderThatIsCutOffIsNotBelieved(t *testing.T) {
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -38,9 +38,11 @@
 	// Failed notes a failed call; nil for nothing.
 	Failed func(err error)
 
-	synced bool
-	from   graniteknot.Position
-	retry  time.Duration
+	// begun tells that the newest records were read once; synced that records are
+	// read on from there.
+	begun, synced bool
+	from          graniteknot.Position
+	retry         time.Duration
 	// revalidated tells that the last look did not ask the store.
 	revalidated bool
 }
@@ -48,7 +50,7 @@
 // Run follows the topic until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.synced && f.Revalidate != nil && f.Revalidate(ctx) {
+		if f.begun && f.Revalidate != nil && f.Revalidate(ctx) {
 			f.revalidated = true
 			delay.For(ctx, f.RevalidatePause)
 			continue
@@ -74,7 +76,7 @@
 			return f.note(ctx, began, err)
 		}
 		f.good()
-		f.synced, f.from = true, page.End
+		f.begun, f.synced, f.from = true, true, page.End
 		f.Newest(page.Records, began)
 		return nil
 	}
--- a/internal/core/watch/follower_test.go
+++ b/internal/core/watch/follower_test.go
@@ -200,6 +200,18 @@
 		calls := store.Calls()
 		store.Put("t", "a", []byte("2"))
 		time.Sleep(10 * time.Second)
+		if made := store.Calls() - calls; made != 0 {
+			t.Errorf("%d calls while nothing changed", made)
+		}
+		// A call that fails in between changes nothing.
+		store.Set(keyed.FaultRefuse)
+		valid.Store(false)
+		time.Sleep(200 * time.Millisecond)
+		valid.Store(true)
+		time.Sleep(time.Second)
+		calls = store.Calls()
+		store.Set(keyed.FaultNone)
+		time.Sleep(10 * time.Second)
 		if made := store.Calls() - calls; made != 0 || f.value("a") != "1" {
 			t.Errorf("%d calls while nothing changed, value %q", made, f.value("a"))
 		}
