--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,10 @@
 bench:
 	$(GO) test -p 1 -run '^$$' -bench . -benchmem ./...
 
-# A longer run of the random histories.
+# A longer run of the random histories, and of faults on real processes.
 soak:
 	GRANITEKNOT_SOAK=1 $(GO) test -count 1 -timeout 30m -rapid.checks 50000 ./claim ./fold ./internal/core/relay
+	GRANITEKNOT_SOAK_SEEDS=50 GRANITEKNOT_SOAK_SEED=1 $(GO) test -count 1 -timeout 60m -v ./internal/soak
 
 # The seeds of the fold's fuzz test are committed; this looks for more.
 fuzz:
