--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,12 +36,22 @@
 	return path
 }
 
+// gateways is how many processes there are; 0 for the usual number.
+func gateways() int {
+	n, err := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_GATEWAYS"))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 func play(t *testing.T, program string, seed uint64, faults int, span time.Duration) {
 	t.Helper()
 	var story []string
 	dir := t.TempDir()
 	result, err := soak.Run(context.Background(), soak.Options{
-		Binary: program, Dir: dir, Seed: seed, Faults: faults, Span: span, Say: func(line string) { story = append(story, line) },
+		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span,
+		Say: func(line string) { story = append(story, line) },
 	})
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
