Operators may have keys served on under a configuration that can't be proved

Cause: a gateway that could not prove its configuration refused all keys after key_age, whatever the operator had chosen. Change: the setting bounds.keys_strict, strict by default. Where it is false, keys are served on until another gateway says that it has a newer version, which gateways now tell in their datagrams. Ruled out: leaving the age out altogether; then a gateway that is cut off from the store would go on under a configuration that its peers know to be old.

--- a/internal/core/directconf/config.go
+++ b/internal/core/directconf/config.go
@@ -45,6 +45,9 @@
 	Memory graniteknot.Bytes
 	// KeyAge is how old a configuration may be that a key is trusted under.
 	KeyAge time.Duration
+	// KeysUnproved has keys trusted under an older configuration too, until
+	// another gateway is known to have a newer one.
+	KeysUnproved bool
 	// Drain is how long after its announcement a leaving replica may still get
 	// requests.
 	Drain time.Duration
--- a/internal/core/directconf/config_test.go
+++ b/internal/core/directconf/config_test.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// TestStrictKeys refuses keys under an old configuration unless the settings say
+// otherwise.
+func TestStrictKeys(t *testing.T) {
+	for text, want := range map[string]bool{"": false, "keys_strict = true\n": false, "keys_strict =\n": false, "keys_strict = false\n": true} {
+		c, err := directconf.Parse("x.ini", []byte(strings.Replace(whole, "[retries]\n", text+"[retries]\n", 1)))
+		if err != nil || c.KeysUnproved != want {
+			t.Errorf("%q: %+v, %v", text, c, err)
+		}
+	}
+}
+
 // TestFaults names the file, the line and the key of everything that is wrong.
 func TestFaults(t *testing.T) {
 	cases := map[string]struct{ from, to, want string }{
@@ -47,6 +58,7 @@
 		"empty":       {"box = edge-1", "box =", "x.ini:1: [process] box: expected this key to be set"},
 		"address":     {"127.0.0.1:8005", "localhost", `x.ini:13: [store] address: expected IP:PORT, got "localhost"`},
 		"duration":    {"5000ms", "soon", `x.ini:15: [bounds] key_age: expected a duration from 0s to 24h, got "soon"`},
+		"strict":      {"key_age = 5000ms", "key_age = 5000ms\nkeys_strict = maybe", `x.ini:16: [bounds] keys_strict: expected true or false, got "maybe"`},
 		"role":        {"role = gateway", "role = king", `x.ini:2: [process] role: expected gateway or sidecar, got "king"`},
 		"number":      {"share = 0.2", "share = -1", `x.ini:17: [retries] share: expected a number that is not negative, got "-1"`},
 		"unknown key": {"zone = north", "zone = north\nzoom = 1", "x.ini:5: [process] zoom: expected a known key"},
@@ -72,7 +84,7 @@
 		"{{listen_addrs.readiness}}", "127.0.0.1:4", "{{listen_addrs.registry}}", "127.0.0.1:5", "{{platform.address}}", "127.0.0.1:6",
 		"{{app}}", "127.0.0.1:7", "{{limits.memory_mb}}", "100", "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_min_extra}}", "90",
 		"{{bounds.grace_period_s}}", "8", "{{bounds.revoke_timeout_ms}}", "5000", "{{bounds.drain_timeout_ms}}", "2000",
-		"{{bounds.ttl_max_s}}", "5", "{{bounds.fencing_enforced}}", "true",
+		"{{bounds.ttl_max_s}}", "5", "{{bounds.revoke_strict}}", "false", "{{bounds.fencing_enforced}}", "true",
 		"{{node_name}}", "n", "{{zone}}", "z", "{{region}}", "r", "{{backend}}", "b",
 	)
 	for _, name := range []string{"gateway", "sidecar"} {
--- a/internal/core/directconf/parser.go
+++ b/internal/core/directconf/parser.go
@@ -39,9 +39,10 @@
 	"target.address":        func(c *Config, v string) string { return setAddress(&c.Target, v) },
 	"target.service":        func(c *Config, v string) string { return setName(&c.TargetService, v) },
 	"bounds.key_age":        func(c *Config, v string) string { return setDuration(&c.KeyAge, v) },
+	"bounds.keys_strict":    setStrict,
 	"bounds.drain":          func(c *Config, v string) string { return setDuration(&c.Drain, v) },
 	"bounds.answer_life":    func(c *Config, v string) string { return setDuration(&c.AnswerLife, v) },
-	"bounds.fences_checked": setFences,
+	"bounds.fences_checked": func(c *Config, v string) string { return setBool(&c.FencesChecked, v) },
 	"retries.share":         setShare,
 	"retries.extra":         setExtra,
 }
@@ -101,15 +102,6 @@
 	return expected
 }
 
-func setFences(c *Config, v string) string {
-	got, err := strconv.ParseBool(v)
-	if err != nil {
-		return fmt.Sprintf("true or false, got %q", v)
-	}
-	c.FencesChecked = got
-	return ""
-}
-
 func setReaders(c *Config, v string) string {
 	n, err := strconv.Atoi(v)
 	if err != nil || n < 0 {
--- a/internal/core/directconf/value.go
+++ b/internal/core/directconf/value.go
@@ -50,3 +50,19 @@
 	*to = got
 	return ""
 }
+
+func setStrict(c *Config, v string) string {
+	var strict bool
+	expected := setBool(&strict, v)
+	c.KeysUnproved = expected == "" && !strict
+	return expected
+}
+
+func setBool(to *bool, v string) string {
+	got, err := strconv.ParseBool(v)
+	if err != nil {
+		return fmt.Sprintf("true or false, got %q", v)
+	}
+	*to = got
+	return ""
+}
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -137,7 +137,7 @@
 	if tree == nil {
 		return
 	}
-	stale := age >= g.keyAge()
+	stale := !g.trusts(tree, age)
 	if g.stale.Swap(stale) != stale {
 		g.Log.Warn("configuration age", slog.Bool("stale", stale), slog.Int64("version", int64(tree.Version)), eventlog.Milliseconds("age", age))
 	}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -139,7 +139,11 @@
 	for _, m := range g.Members.Members(presence.RoleGateway, g.Config.Box) {
 		to = append(to, m.Peers)
 	}
-	g.socket.Send(presence.Message{Ready: g.ready(), Self: &self}, to)
+	hello := presence.Message{Ready: g.ready(), Self: &self}
+	if tree, _ := g.Trees.Current(time.Now()); tree != nil {
+		hello.Settings = uint64(tree.Version)
+	}
+	g.socket.Send(hello, to)
 	g.Fleet.Share(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, time.Now())) + 1)
 }
 
@@ -161,14 +165,26 @@
 		return false
 	}
 	tree, age := g.Trees.Current(time.Now())
-	return tree != nil && (!tree.Tenanted || age < g.keyAge())
+	return tree != nil && (!tree.Tenanted || g.trusts(tree, age))
 }
 
 func (g *Gateway) keyAge() time.Duration { return g.bounds.Load().KeyAge - keyMargin }
 
+// fresh tells whether a key may be trusted now.
 func (g *Gateway) fresh() bool {
 	tree, age := g.Trees.Current(time.Now())
-	return tree != nil && age < g.keyAge()
+	return tree != nil && g.trusts(tree, age)
+}
+
+// trusts tells whether a key may be trusted under a tree that was last proved to
+// be the newest so long ago. Strict operators have keys refused from a certain
+// age on, since one may have been taken away. Others have them served on, but not
+// once another gateway is known to have a newer tree.
+func (g *Gateway) trusts(tree *catalog.Tree, age time.Duration) bool {
+	if age < g.keyAge() {
+		return true
+	}
+	return g.bounds.Load().KeysUnproved && uint64(tree.Version) >= g.Members.NewestSettings()
 }
 
 // gateways is how many may send requests, those still to come included.
--- a/internal/core/gateway/reload.go
+++ b/internal/core/gateway/reload.go
@@ -13,7 +13,7 @@
 	old := g.bounds.Swap(c)
 	g.Log.Info("reloaded", slog.Bool("changed", *old != *c), slog.Bool("needs_restart", needsRestart(g.Config, c)),
 		eventlog.Milliseconds("key_age", c.KeyAge), eventlog.Milliseconds("answer_life", c.AnswerLife),
-		eventlog.Milliseconds("stop_bound", c.Stop), slog.Float64("retry_extra", c.RetryExtra),
+		slog.Bool("keys_unproved", c.KeysUnproved), eventlog.Milliseconds("stop_bound", c.Stop), slog.Float64("retry_extra", c.RetryExtra),
 		slog.Float64("retry_percent", c.RetryPercent))
 }
 
--- a/internal/core/gateway/revalidate_test.go
+++ b/internal/core/gateway/revalidate_test.go
@@ -187,3 +187,37 @@
 		}
 	}
 }
+
+// TestKeysGoOnWithoutProof cuts all gateways off from the store: where the operator
+// allows it they serve keys on under the last configuration, but one that hears of
+// a newer configuration refuses them until it has read that.
+func TestKeysGoOnWithoutProof(t *testing.T) {
+	store := &keyed.Store{}
+	d := &deployment{store: store, keys: []string{"k1"}}
+	d.replica(newReplica(t, "i-1"), false)
+	d.put()
+	const age = 600 * time.Millisecond
+	way := &cutStore{KeyedStore: store}
+	cut := start(t, way, func(c *directconf.Config) { c.KeyAge, c.KeysUnproved = age, true })
+	defer cut.stop()
+	strict := start(t, way, func(c *directconf.Config) { c.KeyAge = age })
+	defer strict.stop()
+	for _, b := range []*box{cut, strict} {
+		eventually(t, "served", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusOK })
+	}
+	way.cut.Store(true)
+	eventually(t, "the strict one refuses", func() bool { return strict.ask("/repeat/x", "k1").status == http.StatusServiceUnavailable })
+	if _, old := cut.Trees.Current(time.Now()); old < age-100*time.Millisecond {
+		t.Fatalf("the configuration is only %v old", old)
+	}
+	if got := cut.ask("/repeat/x", "k1").status; got != http.StatusOK {
+		t.Fatalf("the other one: %d", got)
+	}
+	d.keys = []string{"k2"}
+	d.put()
+	newer := start(t, store, func(c *directconf.Config) { c.KeyAge, c.KeysUnproved = age, true })
+	defer newer.stop()
+	eventually(t, "refused once a peer has a newer one", func() bool { return cut.ask("/repeat/x", "k1").status == http.StatusServiceUnavailable })
+	way.cut.Store(false)
+	eventually(t, "the new key is taken", func() bool { return cut.ask("/repeat/x", "k2").status == http.StatusOK })
+}
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -18,6 +18,8 @@
 	Self *Member `cbor:"6,keyasint,omitempty"`
 	// Load is set by sidecars.
 	Load *Digest `cbor:"5,keyasint,omitempty"`
+	// Settings is the version of the configuration that a gateway has; 0 for none.
+	Settings uint64 `cbor:"9,keyasint,omitempty"`
 	// Question and Answer are set where the datagram is one.
 	Question *Question `cbor:"7,keyasint,omitempty"`
 	Answer   *Answer   `cbor:"8,keyasint,omitempty"`
--- a/internal/core/presence/view.go
+++ b/internal/core/presence/view.go
@@ -23,6 +23,17 @@
 type View struct {
 	mu    sync.Mutex
 	peers map[graniteknot.BoxName]*peer
+	// settings is the newest version of the configuration that a member said it
+	// has. It never falls, since versions do not.
+	settings uint64
+}
+
+// NewestSettings returns the newest version of the configuration that any other
+// process said it has; 0 when none did.
+func (v *View) NewestSettings() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.settings
 }
 
 // Put takes in a member's newest record. It returns false when the life is
@@ -58,6 +69,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.settings = max(v.settings, m.Settings)
 	if p := v.peers[m.Box]; p != nil {
 		p.ready, p.heard = m.Ready, now
 	}
