Gateways bound passes by what the keeper foretells, and tell the hopeless at once

Cause: passes of 120 to 190 ms after each shift of interests and after each outage made all streams under way late at once (of 56 a second, 60 to 100 a shift), at a mean pass of 50 to 70 ms. Change: the keeper tells the skew under the map in force and whether ranks load, at once when it jumps. From that and the stated figures follows how much writing and reading fit into a pass of the whole group (fleet/room.go); prompts are bounded per pass as well (intake.go). A group of which nothing is known gets two requests an engine until its passes tell. Where requests wait, gateways keep to their parts. Whether a request waits is decided on arrival from the queue, the rate of answers and how long first events take (wait.go); refused ones are told when the queue will have drained, spread. Tests: room_test.go.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -37,6 +37,23 @@
 	Experts *Experts
 }
 
+// Bare is how long a pass with writers takes beside what each of them adds.
+func (e *Engine) Bare() time.Duration { return time.Duration(max(e.Stride, 1)) * e.Step }
+
+// Writing is what a request that writes adds to a pass, were all work even.
+func (e *Engine) Writing() time.Duration { return time.Duration(max(e.Stride, 1)) * e.PerWriter }
+
+// Reading is how long a prompt takes to be read, were all work even.
+func (e *Engine) Reading(prompt graniteknot.Tokens) time.Duration {
+	if e.ReadRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(prompt) / e.ReadRate * float64(time.Second))
+}
+
+// Passes is how many passes a usual answer takes; at least 1.
+func (e *Engine) Passes() int { return max(1, int(e.Usual.Answer)/max(e.Stride, 1)) }
+
 // Size is what a request asks of an engine.
 type Size struct {
 	// Prompt is read, Answer is the most that is written.
--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -31,6 +31,8 @@
 	Room int
 	// Pass is how long its group's passes take; 0 is unknown.
 	Pass time.Duration
+	// Skew is that of the replica's group; 0 is unknown.
+	Skew float64
 	// ReportAge is how old its report is; 0 without one.
 	ReportAge time.Duration
 	// Waited is how long the request waited for room.
@@ -89,6 +91,7 @@
 	}
 	l.begun = true
 	took := now.Sub(l.sent)
+	l.table.intake(l.Replica.Service).first.note(took)
 	if l.target.latency == 0 {
 		l.target.latency = took
 		return
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -22,6 +22,8 @@
 	Now  time.Time
 	// Asked is when the choice was first asked for.
 	Asked time.Time
+	// late requests can't be in time any more.
+	late bool
 }
 
 // Pick chooses a replica and takes a place there; nil when there is none.
@@ -70,6 +72,9 @@
 		l.risked, x.risked = true, q.Now
 	}
 	x.own[l] = struct{}{}
+	if q.Service.Engine != nil {
+		t.intake(q.Service.Name).sent(q.Size.Prompt)
+	}
 	return l
 }
 
@@ -84,7 +89,8 @@
 	}
 	if e := q.Service.Engine; e != nil {
 		g := t.load(t.services[q.Service.Name], q.Now)
-		in.Room = room(e, q.Gap, g.pass, g.running)
+		r := roomOf(e, q.Gap, &g)
+		in.Room, in.Skew = int(r.writers()), g.forecast.Skew
 	}
 	return in
 }
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -10,13 +10,14 @@
 	"graniteknot.org/go/catalog"
 )
 
-// crowded is the part of a service's room that has to be taken for the gateways
-// to keep to their own parts.
-const crowded = 0.75
+// crowded is the part of the room that has to be taken for gateways where requests
+// wait to keep to their own parts: each sees the same places, and takes some before
+// the others' reports tell.
+const crowded = 0.5
 
-// firstPasses is how many passes an engine takes to its first event: the rest of
-// the one under way, one that reads the prompt, and one that writes.
-const firstPasses = 3
+// reserved is the part of the room that is kept from those who will be late, for
+// those to come who can be in time.
+const reserved = 0.1
 
 // Waiting bounds how long a request waits for room.
 type Waiting struct {
@@ -63,14 +64,18 @@
 	defer t.mu.Unlock()
 	list := t.services[q.Service.Name]
 	t.arrivals(q.Service.Name).note(q.Now)
+	t.intake(q.Service.Name).asked.note(q.Now)
 	if t.best(q, func(x *target) bool { return !x.ending() }) == nil {
 		return nil, nil
 	}
 	if len(t.queues[q.Service.Name]) == 0 {
-		if best := t.roomy(q, list); best != nil {
+		if best := t.roomy(q, list, false); best != nil {
 			return t.lease(best, q), nil
 		}
 	}
+	if !t.worthWaiting(q, w) {
+		return nil, nil
+	}
 	one := &waiter{query: q, wait: w, ready: make(chan *Lease, 1)}
 	if t.queues == nil {
 		t.queues = map[graniteknot.Service][]*waiter{}
@@ -96,9 +101,8 @@
 // roomy returns the best usable replica with room; called with the lock held.
 // Reports are late, and every gateway sees the same slot fall free: once the
 // service is nearly full, each keeps to its own part of the room.
-func (t *Table) roomy(q *Query, list []*target) *target {
+func (t *Table) roomy(q *Query, list []*target, waiting bool) *target {
 	g := t.load(list, q.Now)
-	most := room(q.Service.Engine, q.Gap, g.pass, g.running)
 	own, all, usable := 0, 0, 0.0
 	for _, x := range list {
 		if !x.takes(q.Now) {
@@ -108,32 +112,47 @@
 		own += len(x.own)
 		all += len(x.own) + x.others(q.Now)
 	}
-	each := most
-	if float64(all) >= crowded*float64(most)*usable {
-		peers := max(1, t.peers)
-		if float64(own) >= math.Ceil(float64(most)*usable/float64(peers)) {
-			return nil
-		}
-		each = (most + peers - 1) / peers
+	if usable == 0 || !t.admits(q, &g, own, all, usable, waiting) {
+		return nil
 	}
+	slots := float64(q.Service.Engine.Slots)
 	var may []*target
 	for _, x := range list {
-		own := int(float64(most) / x.slower(g, q.Now))
-		if x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && len(x.own) < each && len(x.own)+x.others(q.Now) < own {
+		if x.takes(q.Now) && !slices.Contains(q.Tried, x.replica.ID) && float64(len(x.own)+x.others(q.Now)) < slots/x.slower(g, q.Now) {
 			may = append(may, x)
 		}
 	}
 	return cheapest(t.sample(q.Service.Name, may, q.Now), q, g)
 }
 
+// admits tells whether the group as a whole may get one more request: work for
+// tokens is spread over all ranks, so where it is sent matters less than how much
+// there is.
+func (t *Table) admits(q *Query, g *groupLoad, own, all int, usable float64, waiting bool) bool {
+	r := roomOf(q.Service.Engine, q.Gap, g)
+	peers := float64(max(1, t.peers))
+	in := t.intake(q.Service.Name)
+	total := r.writers() * usable
+	if float64(all)+1 > total || q.late && float64(all) >= (1-reserved)*total {
+		return false
+	}
+	if (waiting && float64(all) > crowded*total || r.unknown()) && float64(own) >= math.Ceil(total/peers) {
+		return false
+	}
+	if q.Service.Engine.ReadRate <= 0 || r.hopeless() || r.unknown() {
+		return true
+	}
+	return in.open(r.reading(float64(all)/usable, usable)/peers, r.longest, q.Now)
+}
+
 // serve hands free room to those who wait; called with the lock held.
 func (t *Table) serve(s graniteknot.Service, now time.Time) {
 	for len(t.queues[s]) > 0 {
-		pass := t.load(t.services[s], now).pass
-		i := first(t.queues[s], now.Add(time.Duration(firstPasses*float64(pass))))
+		event := now.Add(t.intake(s).first.expected())
+		i := first(t.queues[s], event)
 		one := t.queues[s][i]
-		one.query.Now = now
-		best := t.roomy(one.query, t.services[s])
+		one.query.Now, one.query.late = now, !one.wait.Aim.After(event)
+		best := t.roomy(one.query, t.services[s], true)
 		if best == nil {
 			return
 		}
--- a/internal/core/fleet/room.go
+++ b/internal/core/fleet/room.go
@@ -8,38 +8,123 @@
 
 const (
 	// gapShare is the part of the longest useful pause that passes are meant to
-	// take; the rest is for the way, and for passes that read long prompts.
-	gapShare = 0.88
+	// take; the rest is for the way to the caller.
+	gapShare = 0.95
 	// leastWriters is how many requests an engine gets however slow it is.
 	leastWriters = 2
+	// fewRunning is how many requests engines with experts have to have, at the mean,
+	// for a pass to tell how uneven its work is.
+	fewRunning = 1.5
+	// loadingShare is by how much longer passes take while ranks load experts, as
+	// the platform states it.
+	loadingShare = 1.15
+	// slowPace is how many times slower than the fastest a replica has to be for
+	// passes to be foretold by how long they take, and not by the skew of the group.
+	slowPace = 1.2
 )
 
-// room is how many requests an engine may have so that the pauses between
-// events stay within the gap. A pass grows with the requests that write:
-// from how long passes take now, with the mean number that runs now, follows
-// with how many they would take the gap.
-func room(e *catalog.Engine, gap, pass time.Duration, running float64) int {
-	most := e.Slots
-	if gap <= 0 || pass <= 0 || e.PerWriter <= 0 {
-		return most
+// room foretells how long an engine service's passes take. A pass takes a time of
+// its own, and as much longer as all ranks' writing and reading asks for, times
+// what unevenness makes of it. A stream lives for many passes, and a single one
+// that is too long makes it late, together with all others of the group.
+type room struct {
+	engine *catalog.Engine
+	// longest is how long a pass may take for pauses to be useful; 0 is no bound.
+	longest time.Duration
+	// factor is by how much longer than stated work takes now; 0 is unknown.
+	factor float64
+	// guessed tells that no keeper told the factor of a group with experts.
+	guessed bool
+	// loading is by how much longer whole passes take now.
+	loading float64
+}
+
+// roomOf returns what is known of a service's passes from its replicas' reports.
+func roomOf(e *catalog.Engine, gap time.Duration, g *groupLoad) room {
+	f := g.forecast
+	r := room{
+		engine: e, longest: time.Duration(gapShare * float64(gap)),
+		factor: factor(e, f.Skew), loading: 1,
+	}
+	if f.Loading {
+		r.loading = loadingShare
+	}
+	r.guessed = e.Experts != nil && f.Skew <= 0
+	if f.Skew <= 0 || g.slowest > slowPace*g.pace {
+		r.factor = seenFactor(e, g)
+	}
+	return r
+}
+
+// seenFactor is by how much longer than stated work takes, by how long passes take;
+// 0 when none are made.
+func seenFactor(e *catalog.Engine, g *groupLoad) float64 {
+	work := max(g.running, 1) * float64(e.Writing()+e.Reading(e.Usual.Prompt)/time.Duration(e.Passes()))
+	telling := g.pass > 0 && (e.Experts == nil || g.running >= fewRunning)
+	switch {
+	case work <= 0 || !telling && e.Experts == nil:
+		return 1
+	case !telling:
+		return 0
+	}
+	return max(1, float64(g.pass-e.Bare())/work)
+}
+
+// unknown tells that nothing shows yet how long passes take, as when a group has
+// just begun to run: a few requests find out.
+func (r *room) unknown() bool { return r.factor <= 0 }
+
+// work is how much writing and reading of each engine fits into a pass, were all
+// work even.
+func (r *room) work() time.Duration {
+	return time.Duration((float64(r.longest)/r.loading - float64(r.engine.Bare())) / r.factor)
+}
+
+// hopeless tells that no pause can be useful, with however few requests. Then what
+// is left is to answer many. Right after a group has begun to run, passes seen
+// beside older reports of what runs do not tell that.
+func (r *room) hopeless() bool {
+	if r.longest <= 0 || r.engine.PerWriter <= 0 {
+		return true
+	}
+	return !r.unknown() && !r.guessed && r.work() < leastWriters*r.engine.Writing()
+}
+
+// writers is how many requests each engine may have at once.
+func (r *room) writers() float64 {
+	slots := float64(r.engine.Slots)
+	if r.hopeless() {
+		return slots
 	}
-	base := float64(e.Step)
-	each := float64(e.PerWriter)
-	scale := float64(pass) / (base + each*running)
-	if scale*(base+each*leastWriters) > float64(gap) {
-		// No pause is useful any more, so what is left is to answer many.
-		return most
+	if r.unknown() {
+		return min(leastWriters, slots)
 	}
-	writers := (gapShare*float64(gap)/scale - base) / each
-	return min(max(int(writers), leastWriters), most)
+	return min(max(float64(r.work())/float64(r.engine.Writing()), leastWriters), slots)
 }
 
-// groupLoad is the mean of an engine service's reports.
+// pass is how long one takes with n requests at each engine, which also read a
+// usual prompt each in its life.
+func (r *room) pass(n float64) time.Duration {
+	e := r.engine
+	each := e.Writing() + e.Reading(e.Usual.Prompt)/time.Duration(e.Passes())
+	return e.Bare() + time.Duration(n*float64(each)*max(r.factor, 1))
+}
+
+// reading is how many prompt tokens a second all engines together may read beside
+// so many requests that write at each.
+func (r *room) reading(writers, engines float64) float64 {
+	left := float64(r.work()) - writers*float64(r.engine.Writing())
+	return max(0, left) / float64(r.longest) * engines * r.engine.ReadRate
+}
+
+// groupLoad sums up an engine service's reports.
 type groupLoad struct {
 	pass    time.Duration
 	running float64
-	// pace is that of the fastest replica; 0 is unknown.
-	pace float64
+	// pace is that of the fastest replica, slowest that of the slowest; 0 is
+	// unknown.
+	pace, slowest float64
+	forecast      Forecast
 }
 
 // load sums up the fresh reports of a service's replicas; called with the
@@ -57,6 +142,10 @@
 		if p := x.load.Pace; p > 0 && (out.pace == 0 || p < out.pace) {
 			out.pace = p
 		}
+		out.slowest = max(out.slowest, x.load.Pace)
+		if x.load.Forecast.Skew > out.forecast.Skew {
+			out.forecast = x.load.Forecast
+		}
 	}
 	if n > 0 {
 		out.running /= float64(n)
--- /dev/null
+++ b/internal/core/fleet/room_test.go
@@ -0,0 +1,143 @@
+package fleet_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// grouped is an engine whose ranks share the work of experts: a pass takes 20 ms, and
+// 4 ms more for each request that writes, were all work even.
+var grouped = &catalog.Service{Name: "s", Engine: &catalog.Engine{
+	Slots: 12, Step: 5 * time.Millisecond, PerWriter: time.Millisecond, Stride: 4, Chunk: 512, ReadRate: 50_000,
+	Usual:   catalog.Size{Prompt: 800, Answer: 96},
+	Experts: &catalog.Experts{Sets: 3, Experts: 96, Places: 11, Fraction: 0.85},
+}}
+
+// usefulGap is the longest useful pause of the routes to it.
+const usefulGap = 120 * time.Millisecond
+
+// group returns a table of engines that all show the same.
+func group(engines int, l fleet.Load, now time.Time) *fleet.Table {
+	t := &fleet.Table{}
+	for i := range engines {
+		id := catalog.ReplicaID(rune('a' + i))
+		t.Put(replica(id), now.Add(-time.Hour))
+		l.Taken = now
+		t.Report(replica(id).Address, l)
+	}
+	return t
+}
+
+// taken counts the requests that are sent at once.
+func taken(t *fleet.Table, prompt graniteknot.Tokens, now time.Time) int {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	n := 0
+	for ; n < 200; n++ {
+		q := &fleet.Query{Service: grouped, Gap: usefulGap, Size: catalog.Size{Prompt: prompt}, Now: now, Asked: now}
+		if t.Acquire(ctx, q, fleet.Waiting{Aim: now, Last: now}) == nil {
+			break
+		}
+	}
+	return n
+}
+
+// TestRoomFollowsTheSkew gives a group as many requests as keep its passes within
+// the longest useful pause at the skew that its keeper tells.
+func TestRoomFollowsTheSkew(t *testing.T) {
+	now := time.Now()
+	for skew, want := range map[float64]int{
+		// (114 ms - 20 ms) / 4 ms is more than the slots.
+		1: 4 * 12,
+		// The work takes 0.15 + 0.85 * 3 = 2.7 times as long: 94 ms / 2.7 / 4 ms = 8.7.
+		3: 4*8 + 2,
+		// 0.15 + 0.85 * 5 = 4.4 times: 5.3.
+		5: 4*5 + 1,
+	} {
+		table := group(4, fleet.Load{Forecast: fleet.Forecast{Skew: skew}}, now)
+		if got := taken(table, 0, now); got != want {
+			t.Errorf("skew %v: %d requests, want %d", skew, got, want)
+		}
+	}
+	loading := group(4, fleet.Load{Forecast: fleet.Forecast{Skew: 3, Loading: true}}, now)
+	if got := taken(loading, 0, now); got >= 34 {
+		t.Errorf("%d requests while ranks load experts, as many as otherwise", got)
+	}
+}
+
+// TestNewGroupGetsFew sends a group of which nothing is known, as after all boxes
+// lost power, only what shows how long its passes take: each gateway its part.
+func TestNewGroupGetsFew(t *testing.T) {
+	now := time.Now()
+	table := group(12, fleet.Load{}, now)
+	table.Share(6)
+	if got := taken(table, 800, now); got != 4 {
+		t.Errorf("one of six gateways sent %d requests to 12 engines, want 4 of 24", got)
+	}
+}
+
+// TestReadingIsBounded keeps the prompts that are read in one pass from making it
+// too long: 0.15 + 0.85 * 3 = 2.7, so 94 ms / 2.7 = 34.8 ms of reading at each of 12
+// engines fit into a pass beside no writers; that is 20,900 tokens.
+func TestReadingIsBounded(t *testing.T) {
+	now := time.Now()
+	table := group(12, fleet.Load{Forecast: fleet.Forecast{Skew: 3}}, now)
+	got := taken(table, 2000, now)
+	if got < 9 || got > 11 {
+		t.Errorf("%d prompts of 2,000 tokens at once", got)
+	}
+	if more := taken(table, 2000, now.Add(60*time.Millisecond)); more < 2 || more > 6 {
+		t.Errorf("%d more half a pass later", more)
+	}
+}
+
+// TestHopelessIsToldAtOnce lets those wait who can be in time, and tells the others
+// on arrival, when many more come than the engines answer.
+func TestHopelessIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := group(2, fleet.Load{Forecast: fleet.Forecast{Skew: 3}}, time.Now())
+		const (
+			perSecond = 50
+			aim       = 500 * time.Millisecond
+			last      = 1500 * time.Millisecond
+		)
+		var atOnce, held, served atomic.Int32
+		var callers sync.WaitGroup
+		for n := range 4 * perSecond {
+			time.Sleep(time.Second / perSecond)
+			now := time.Now()
+			for i := range 2 {
+				id := catalog.ReplicaID(rune('a' + i))
+				table.Report(replica(id).Address, fleet.Load{Forecast: fleet.Forecast{Skew: 3}, Taken: now})
+			}
+			callers.Go(func() {
+				q := &fleet.Query{Service: grouped, Gap: usefulGap, Now: now, Asked: now}
+				l := table.Acquire(t.Context(), q, fleet.Waiting{Aim: now.Add(aim), Last: now.Add(last)})
+				switch {
+				case l != nil:
+					time.Sleep(150 * time.Millisecond)
+					l.Heard(time.Now())
+					time.Sleep(time.Duration(n%8+1) * 500 * time.Millisecond)
+					l.End(fleet.VerdictGood, time.Now())
+					served.Add(1)
+				case time.Since(now) == 0:
+					atOnce.Add(1)
+				default:
+					held.Add(1)
+				}
+			})
+		}
+		callers.Wait()
+		if served.Load() < 25 || atOnce.Load() < 100 || held.Load() > served.Load()/5 {
+			t.Errorf("%d served, %d told at once, %d held and then refused", served.Load(), atOnce.Load(), held.Load())
+		}
+	})
+}
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -38,6 +38,8 @@
 	queues map[graniteknot.Service][]*waiter
 	// rates are how often own requests come, by service.
 	rates map[graniteknot.Service]*rate
+	// intakes bound the prompts that are sent, by service.
+	intakes map[graniteknot.Service]*intake
 	// peers is how many gateways share the replicas; 0 counts as one.
 	peers int
 }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -17,6 +17,8 @@
 	Pace float64
 	// Pass is how long a pass takes; 0 is unknown, as in an idle group.
 	Pass time.Duration
+	// Forecast is the keeper's of the group; zero from other ranks.
+	Forecast Forecast
 	// Closed groups do not run.
 	Closed bool
 	// Taken is when the report was made.
--- /dev/null
+++ b/internal/core/fleet/wait.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// fewLeft is the part of what engines can answer that has to be left by those who
+// can be in time for those who can't to be served in some time.
+const fewLeft = 0.05
+
+// worthWaiting tells whether a request that finds no room is to wait: it can still
+// be in time behind those before it, or it will be late but served while its caller
+// waits. Others are better told at once. Called with the lock held.
+func (t *Table) worthWaiting(q *Query, w Waiting) bool {
+	s := q.Service.Name
+	rate := t.answers(q)
+	if rate <= 0 {
+		// The group does not run; how long that takes is not known.
+		return true
+	}
+	inTime, all := t.ahead(s, q, w)
+	first := t.intake(s).first.expected()
+	if start := q.Now.Add(after(inTime, rate)); start.Add(first).Before(w.Aim) {
+		return true
+	}
+	left := rate - t.intake(s).asked.perSecond(q.Now)
+	return left > fewLeft*rate && q.Now.Add(after(all, left)).Before(w.Last)
+}
+
+// ahead counts those who are served before a request: those who can be in time, and
+// all.
+func (t *Table) ahead(s graniteknot.Service, q *Query, w Waiting) (inTime, all int) {
+	event := q.Now.Add(t.intake(s).first.expected())
+	mine := &waiter{query: q, wait: w}
+	for _, x := range t.queues[s] {
+		if x.wait.Aim.After(event) && !before(mine, x, event) {
+			inTime++
+		}
+		if x.query.Urgency <= q.Urgency {
+			all++
+		}
+	}
+	return inTime, all
+}
+
+// answers is how many requests a second this process may send to a service's
+// engines, by how long passes took over the last seconds; 0 when none run.
+func (t *Table) answers(q *Query) float64 {
+	list := t.services[q.Service.Name]
+	g := t.load(list, q.Now)
+	usable := 0.0
+	for _, x := range list {
+		if x.takes(q.Now) {
+			usable += 1 / x.slower(g, q.Now)
+		}
+	}
+	if usable == 0 {
+		return 0
+	}
+	peers := float64(max(1, t.peers))
+	in := t.intake(q.Service.Name)
+	r := roomOf(q.Service.Engine, q.Gap, &g)
+	if !r.unknown() {
+		r.factor = in.slowly(r.factor, q.Now)
+	}
+	n := r.writers()
+	life := time.Duration(q.Service.Engine.Passes()) * r.pass(n)
+	return n * usable / life.Seconds() / peers
+}
+
+// after is how long so many take at a rate in a second.
+func after(n int, perSecond float64) time.Duration {
+	return time.Duration(float64(n) / perSecond * float64(time.Second))
+}
+
+// Drained returns in how long those who wait for a service's engines will have been
+// served, as this process expects; 0 when none wait.
+func (t *Table) Drained(q *Query) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	waiting := len(t.queues[q.Service.Name])
+	if q.Service.Engine == nil || waiting == 0 {
+		return 0
+	}
+	rate := t.answers(q)
+	left := max(rate-t.intake(q.Service.Name).asked.perSecond(q.Now), fewLeft*rate)
+	if left <= 0 {
+		return 0
+	}
+	return after(waiting, left)
+}
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -103,6 +103,7 @@
 		}
 		lease := f.Fleet.Acquire(r.ctx, r.query(), r.waiting())
 		if lease == nil {
+			r.result.Again = max(r.result.Again, f.Fleet.Drained(r.query()))
 			r.giveUp(r.noLease())
 			return
 		}
@@ -226,7 +227,7 @@
 		slog.String("request", string(r.job.ID)), slog.Int("attempt", r.result.Attempts),
 		slog.String("replica", string(l.Replica.ID)), slog.String("address", string(l.Replica.Address)),
 		slog.String("verdict", v.String()), eventlog.Milliseconds("since_arrival", time.Since(r.job.Arrived)),
-		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Bool("trial", in.Trial),
+		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Float64("skew", in.Skew), slog.Bool("trial", in.Trial),
 		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
 	}
 	if why == ReasonNone {
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -164,7 +164,7 @@
 // again is when the caller of a request that did not run may come back.
 func again(r *forward.Result) time.Duration {
 	if r.Reason == forward.ReasonBusy {
-		return max(r.Again, busyAgain)
+		return time.Duration((1 + 0.4*rand.Float64()) * float64(max(r.Again, busyAgain)))
 	}
 	return max(r.Again, refusedAgain)
 }
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -38,6 +38,10 @@
 	Open bool `cbor:"7,keyasint,omitempty"`
 	// Pass is how long a pass of the group takes, in microseconds; 0 is unknown.
 	Pass int64 `cbor:"8,keyasint,omitempty"`
+	// Skew and Loading are the forecast of the group's keeper, set by its own
+	// sidecar only.
+	Skew    float32 `cbor:"9,keyasint,omitempty"`
+	Loading bool    `cbor:"10,keyasint,omitempty"`
 }
 
 func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -80,8 +80,11 @@
 	Planner *planner.Planner
 	// Members are all ranks, in order.
 	Members []*Member
-	Log     *eventlog.Log
-	Meter   *meter.Meter
+	// Tell is given what is known of the length of passes, once a round; nil for
+	// nobody.
+	Tell  func(Forecast)
+	Log   *eventlog.Log
+	Meter *meter.Meter
 }
 
 // Keeper keeps one group's map while it holds the highest fence. It is used by
@@ -105,6 +108,8 @@
 	// tally reads the counts of a large group; nil for a small one.
 	tally *tally
 	pace  pace
+	// forecaster knows how long passes will take.
+	forecaster forecaster
 	// paces is how many times slower than the fastest each rank is; nil when none
 	// is slow.
 	paces []float64
@@ -198,6 +203,7 @@
 	d := held.Decide(states, k.wish)
 	k.wish.Freed = max(k.wish.Freed, d.Freed)
 	k.enter(d.Phase)
+	k.tell()
 	k.give(ctx, d.Orders, now)
 	return k.pause(d.Phase), 0
 }
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -37,6 +37,7 @@
 	}
 	if states[0].Epoch != k.epoch {
 		k.wish.Freed = held.Never
+		k.forecaster = forecaster{}
 		k.window.forget()
 		if k.tally != nil {
 			k.tally.forget()
@@ -87,6 +88,19 @@
 	return k.window.loads()
 }
 
+// tell tells what is known of the length of passes.
+func (k *Keeper) tell() {
+	if k.Tell == nil {
+		return
+	}
+	if k.tally != nil {
+		k.tally.forecast(&k.forecaster, k.placement, k.paces, k.mapping)
+	} else {
+		k.forecaster.see(&k.window, k.placement, k.paces, k.mapping)
+	}
+	k.Tell(k.forecaster.forecast(k.phase))
+}
+
 // changed tells that the newest counts differ from those before: a part of them may
 // be from before the change, so the next ones are waited for.
 func (k *Keeper) changed() bool {
--- a/internal/core/ranks/tally.go
+++ b/internal/core/ranks/tally.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 	"graniteknot.org/go/planner"
@@ -92,6 +93,13 @@
 	return t.window.changed
 }
 
+// forecast has the newest sums taken in.
+func (t *tally) forecast(f *forecaster, p *planner.Placement, paces []float64, mapping held.Version) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f.see(&t.window, p, paces, mapping)
+}
+
 // forget drops what was read.
 func (t *tally) forget() {
 	t.mu.Lock()
--- a/internal/core/ranks/window.go
+++ b/internal/core/ranks/window.go
@@ -69,7 +69,7 @@
 		return false
 	}
 	now, before := w.between(last-1, last), w.between(0, last-1)
-	if now.Total() < float64(fewChoices*w.Shape.Layers*w.Shape.Experts) {
+	if now.Total() < w.few() {
 		return false
 	}
 	by := now.Distance(before)
@@ -95,6 +95,20 @@
 	return w.between(0, len(w.taken)-1), true
 }
 
+// newest returns the counts of the newest interval and when they were taken; false
+// before there is one, or when it holds too few to tell anything.
+func (w *window) newest() (planner.Loads, time.Time, bool) {
+	last := len(w.taken) - 1
+	if last < 1 {
+		return nil, time.Time{}, false
+	}
+	loads := w.between(last-1, last)
+	return loads, w.taken[last].at, loads.Total() >= w.few()
+}
+
+// few is how many choices an interval has to hold to tell anything.
+func (w *window) few() float64 { return float64(fewChoices * w.Shape.Layers * w.Shape.Experts) }
+
 // between returns the counts from one look to another.
 func (w *window) between(from, to int) planner.Loads {
 	s := w.Shape
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -107,10 +107,12 @@
 	k := ranks.NewKeeper(ranks.Parts{
 		// Positions begin at 0, fences at 1.
 		Fence: at + 1, Own: report.Rank, Former: former, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: members,
+		Tell:    s.takeForecast,
 		Planner: &planner.Planner{Shape: shape, Smoothing: 1},
 	})
 	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
 	fenced := k.Run(ctx)
+	s.takeForecast(ranks.Forecast{})
 	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int64("other", int64(fenced)))
 }
 
--- a/internal/core/sidecar/passclock.go
+++ b/internal/core/sidecar/passclock.go
@@ -23,15 +23,15 @@
 }
 
 // see takes in a look and returns the mean time of a pass; 0 when that can't be
-// told, as in an idle group. A group that has work and begins no pass counts as
-// one whose pass takes as long as it has stood.
+// told, as in an idle group. While a group that has work begins no pass, as when a
+// rank is cut off, the passes before tell how long those after will take.
 func (c *passClock) see(step graniteknot.Step, working bool, now time.Time) time.Duration {
 	if n := len(c.looks); n > 0 && step < c.looks[n-1].step {
 		// The rank has started anew.
 		c.looks = nil
 	}
 	if n := len(c.looks); n > 0 && step == c.looks[n-1].step && working {
-		return max(c.mean(), now.Sub(c.looks[n-1].at))
+		return c.mean()
 	}
 	c.looks = append(c.looks, passLook{step, now})
 	for len(c.looks) > 2 && now.Sub(c.looks[1].at) >= passSpan {
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -71,12 +72,36 @@
 	read   time.Time
 	// pass knows how long a pass takes; only digests uses it.
 	pass passClock
+	// forecast is the own keeper's; told is the skew that the gateways know.
+	forecast ranks.Forecast
+	told     float64
+	// news asks for a digest before its time.
+	news chan struct{}
+}
+
+// tellSkew is by how much the skew changes for the gateways to be told at once.
+const tellSkew = 0.2
+
+// takeForecast notes what the own keeper knows of the length of passes, and has the
+// gateways told at once when it has changed much.
+func (s *Sidecar) takeForecast(f ranks.Forecast) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forecast = f
+	if math.Abs(f.Skew-s.told) < tellSkew*s.told {
+		return
+	}
+	s.told = f.Skew
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
 }
 
 // New returns a sidecar that does nothing until Start.
 func New(p Parts) *Sidecar {
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
-	s := &Sidecar{Parts: p, own: p.Rank(p.Config.Target)}
+	s := &Sidecar{Parts: p, own: p.Rank(p.Config.Target), news: make(chan struct{}, 1)}
 	s.Health.Log = p.Log
 	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log, Meter: p.Meter}
 	return s
@@ -154,6 +179,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.news:
 		}
 		report, err := s.own.Report(ctx)
 		if (err != nil) != lost {
@@ -169,6 +195,8 @@
 func (s *Sidecar) tell(r *held.Report) {
 	s.mu.Lock()
 	s.report, s.read = *r, time.Now()
+	f := s.forecast
+	s.told = f.Skew
 	s.mu.Unlock()
 	var to []graniteknot.Address
 	for _, m := range s.Members.Members(presence.RoleGateway, "") {
@@ -177,6 +205,7 @@
 	s.socket.Send(presence.Message{Load: &presence.Digest{
 		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Held: int64(r.Tokens), Pace: float32(r.Pace),
 		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: s.pass.see(r.State.Step, r.Running > 0, time.Now()).Microseconds(),
+		Skew: float32(f.Skew), Loading: f.Loading,
 	}}, to)
 }
 
--- a/planner/shape.go
+++ b/planner/shape.go
@@ -136,6 +136,10 @@
 // the mean ones.
 func (p *Placement) Skew(loads Loads) float64 { return p.skew(loads, nil) }
 
+// TimeSkew is Skew by how long the ranks take, each so many times slower than a
+// healthy one; nil paces are all healthy.
+func (p *Placement) TimeSkew(loads Loads, paces []float64) float64 { return p.skew(loads, paces) }
+
 // skew is Skew with the loads weighed by how slow the ranks are.
 func (p *Placement) skew(loads Loads, pace []float64) float64 {
 	var most, mean float64
