graniteknot losses: which requests were lost or late, in which second, and why

An operator's tool: counts every request of the logs once, by cause. Lines of requests that are late now say by what, and when their longest pause ended.

Digests of sidecars, in the same run of the tree: at most 100 a second of each to all gateways together, so each 320 ms to 32 gateways and as before to 12 and fewer; at once when the group opens or the skew jumps. Silence is judged by 2.6 digests, 650 ms at least.

--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -94,6 +94,7 @@
 	registerStatus(app, commands)
 	registerTimeline(app, commands)
 	registerExplain(app, commands)
+	registerLosses(app, commands)
 	registerStandin(app, commands)
 }
 
--- a/internal/core/fleet/silence.go
+++ b/internal/core/fleet/silence.go
@@ -7,13 +7,15 @@
 )
 
 const (
-	// silentAfter is how long neither a replica nor its sidecar may be heard
-	// before the replica is taken to be cut off. It is five digests of a sidecar,
-	// some of which may be lost, and less than callers wait for an event.
-	silentAfter = 650 * time.Millisecond
-	// othersHeard is how long ago another replica of the service was heard at
-	// most. When none was, it is this process that is cut off or stood still.
-	othersHeard = 300 * time.Millisecond
+	// leastSilence is how long neither a replica nor its sidecar may be heard
+	// before the replica is taken to be cut off, and silentDigests how many digests
+	// that is at least, some of which may be lost. It is less than callers wait for
+	// an event.
+	leastSilence  = 650 * time.Millisecond
+	silentDigests = 2.6
+	// othersHeard is how many digests ago another replica of the service was heard
+	// at most. When none was, it is this process that is cut off or stood still.
+	othersHeard = 2.5
 	// silentTrial is the time between two requests that find out whether a
 	// silent replica works: it may be the sidecar alone that is gone.
 	silentTrial = time.Second
@@ -36,7 +38,8 @@
 	for _, list := range t.services {
 		last, g := newest(list), t.load(list, now)
 		for _, x := range list {
-			silent := x.silent(last, now)
+			x.patience = max(leastSilence, time.Duration(silentDigests*float64(t.period())))
+			silent := x.silent(last, now, t.period())
 			if silent != x.cutOff {
 				x.cutOff = silent
 				changed = append(changed, Silence{Replica: x.replica.ID, Silent: silent, Unheard: now.Sub(x.life())})
@@ -56,7 +59,7 @@
 func (t *target) stuck(now time.Time) []*Lease {
 	var out []*Lease
 	for l := range t.own {
-		if l.move != nil && (!l.risked || now.Sub(l.sent) > silentAfter) {
+		if l.move != nil && (!l.risked || now.Sub(l.sent) > t.patience) {
 			out = append(out, l)
 		}
 	}
@@ -94,14 +97,14 @@
 
 // silent tells whether a replica is cut off: it was not heard for too long while
 // others of its service were, of which newest is the last sign of life.
-func (t *target) silent(newest, now time.Time) bool {
+func (t *target) silent(newest, now time.Time, period time.Duration) bool {
 	life := t.life()
-	return !life.IsZero() && now.Sub(life) > silentAfter && now.Sub(newest) < othersHeard
+	return !life.IsZero() && now.Sub(life) > t.patience && now.Sub(newest) < time.Duration(othersHeard*float64(period))
 }
 
 // spared tells whether a silent target gets no request now.
 func (t *target) spared(now time.Time) bool {
-	return t.cutOff && now.Sub(t.life()) > silentAfter && (len(t.own) > 0 || now.Sub(t.risked) < silentTrial)
+	return t.cutOff && now.Sub(t.life()) > t.patience && (len(t.own) > 0 || now.Sub(t.risked) < silentTrial)
 }
 
 // newest returns the last sign of life of all targets in a list.
--- a/internal/core/fleet/spread.go
+++ b/internal/core/fleet/spread.go
@@ -5,15 +5,11 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/presence"
 )
 
-const (
-	// reportPeriod is the time between two reports of an engine: how long the
-	// requests of other gateways are not seen.
-	reportPeriod = 120 * time.Millisecond
-	// leastCompared is how many engines are compared at least.
-	leastCompared = 2
-)
+// leastCompared is how many engines are compared at least.
+const leastCompared = 2
 
 // sample returns the engines among which the least busy one is chosen. All
 // gateways have the same reports: if each chose the least busy of all, that one
@@ -21,7 +17,7 @@
 // the fewer engines, taken at random, the more requests the others send between
 // two reports.
 func (t *Table) sample(s graniteknot.Service, list []*target, now time.Time) []*target {
-	unseen := t.arrivals(s).perSecond(now) * float64(max(0, t.peers-1)) * reportPeriod.Seconds()
+	unseen := t.arrivals(s).perSecond(now) * float64(max(0, t.peers-1)) * t.period().Seconds()
 	n := max(leastCompared, int(float64(len(list))/(1+unseen)))
 	if n >= len(list) {
 		return list
@@ -44,3 +40,7 @@
 	}
 	return t.rates[s]
 }
+
+// period is the time between two reports of an engine: how long the requests of
+// other gateways are not seen.
+func (t *Table) period() time.Duration { return presence.DigestPeriod(t.peers) }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -46,6 +46,8 @@
 	// request was last sent to find out whether it still is.
 	cutOff bool
 	risked time.Time
+	// patience is how long it may be silent, as of the last look.
+	patience time.Duration
 	// load is the last report; its Taken is zero before the first.
 	load Load
 
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -51,6 +51,8 @@
 	First time.Duration
 	// Pause is the longest time between two parts of a stream.
 	Pause time.Duration
+	// PauseAt is when the longest one ended, from arrival on.
+	PauseAt time.Duration
 	// Replica is the last one asked.
 	Replica string
 }
--- a/internal/core/forward/stream.go
+++ b/internal/core/forward/stream.go
@@ -57,7 +57,7 @@
 	}
 	now := time.Now()
 	if !r.lastPart.IsZero() {
-		r.result.Pause = max(r.result.Pause, now.Sub(r.lastPart))
+		r.paused(now)
 	}
 	r.lastPart = now
 	if err := r.sink.Events(whole); err != nil {
@@ -70,6 +70,13 @@
 	return false
 }
 
+// paused takes in the time since the last part.
+func (r *run) paused(now time.Time) {
+	if pause := now.Sub(r.lastPart); pause > r.result.Pause {
+		r.result.Pause, r.result.PauseAt = pause, now.Sub(r.job.Arrived)
+	}
+}
+
 // begin passes the head of a stream on; false when the caller is gone.
 func (r *run) begin(answer *http.Response) bool {
 	r.first()
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -184,6 +184,10 @@
 	if x.job.Account != nil {
 		fields = append(fields, slog.String("account", string(x.job.Account.Name)))
 	}
+	if late := x.late(result); late != "" {
+		fields = append(fields, slog.String("late", late), eventlog.Milliseconds("aim", x.job.Route.Aim),
+			eventlog.Milliseconds("pause_at", result.PauseAt))
+	}
 	if result.Outcome == graniteknot.OutcomeAnswered {
 		x.gateway.Log.Info("request", fields...)
 		return
@@ -191,6 +195,25 @@
 	x.gateway.Log.Warn("request", append(fields, slog.String("reason", string(result.Reason)))...)
 }
 
+// late tells by what an answer is not in time: its first byte, a pause, or both;
+// empty for one that is, or where the route says nothing.
+func (x *exchange) late(r *forward.Result) string {
+	route := x.job.Route
+	first := route.Aim > 0 && r.First > route.Aim
+	pause := route.GapAim > 0 && r.Pause > route.GapAim
+	switch {
+	case r.Outcome != graniteknot.OutcomeAnswered:
+		return ""
+	case first && pause:
+		return "both"
+	case first:
+		return "first"
+	case pause:
+		return "pause"
+	}
+	return ""
+}
+
 // Whole implements forward.Sink.
 func (x *exchange) Whole(status int, h http.Header, body []byte) error {
 	x.gateway.Translator.Answer(h, x.w.Header())
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -23,9 +23,8 @@
 )
 
 const (
-	// digestPeriod is the time between two digests to the gateways. It is about
-	// a pass of the engines, in which their load can change.
-	digestPeriod = 120 * time.Millisecond
+	// lookPeriod is the time between two looks at the own rank, which cost nothing.
+	lookPeriod = 120 * time.Millisecond
 	// headTime bounds the head of a call from another sidecar.
 	headTime = time.Second
 	// stopTime bounds a planned stop, in which nothing of value is under way.
@@ -70,8 +69,9 @@
 	// report is the last one of the own rank, read when.
 	report held.Report
 	read   time.Time
-	// pass knows how long a pass takes; only digests uses it.
-	pass passClock
+	// pass knows how long a pass takes; passTime is what it told last.
+	pass     passClock
+	passTime time.Duration
 	// forecast is the own keeper's; told is the skew that the gateways know.
 	forecast ranks.Forecast
 	told     float64
@@ -169,42 +169,66 @@
 // heard takes a gateway's datagram, which makes it known.
 func (s *Sidecar) heard(m *presence.Message) { s.Members.Heard(m, time.Now()) }
 
-// digests tells the gateways how busy the target is.
+// digests tells the gateways how busy the target is: as often as their number
+// allows, and at once what can't wait.
 func (s *Sidecar) digests(ctx context.Context) {
-	ticker := time.NewTicker(digestPeriod)
+	ticker := time.NewTicker(lookPeriod)
 	defer ticker.Stop()
-	lost := false
+	lost, open := false, false
+	var told time.Time
 	for {
+		news := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-s.news:
+			news = true
 		}
 		report, err := s.own.Report(ctx)
 		if (err != nil) != lost {
 			lost = err != nil
 			s.Log.Warn("target", slog.Bool("lost", lost), slog.Any("error", err))
 		}
-		if err == nil {
-			s.tell(&report)
+		if err != nil {
+			continue
+		}
+		s.note(&report)
+		to := s.gateways()
+		news = news || report.State.Open != open
+		// Half a look early is nearer to the period than half a look late.
+		if news || time.Since(told)+lookPeriod/2 >= presence.DigestPeriod(len(to)) {
+			told, open = time.Now(), report.State.Open
+			s.tell(&report, to)
 		}
 	}
 }
 
-func (s *Sidecar) tell(r *held.Report) {
+// note keeps a report of the own rank.
+func (s *Sidecar) note(r *held.Report) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.report, s.read = *r, time.Now()
-	f := s.forecast
-	s.told = f.Skew
-	s.mu.Unlock()
+	s.passTime = s.pass.see(r.State.Step, r.Running > 0, s.read)
+}
+
+// gateways returns where the gateways take datagrams.
+func (s *Sidecar) gateways() []graniteknot.Address {
 	var to []graniteknot.Address
 	for _, m := range s.Members.Members(presence.RoleGateway, "") {
 		to = append(to, m.Peers)
 	}
+	return to
+}
+
+func (s *Sidecar) tell(r *held.Report, to []graniteknot.Address) {
+	s.mu.Lock()
+	f, pass := s.forecast, s.passTime
+	s.told = f.Skew
+	s.mu.Unlock()
 	s.socket.Send(presence.Message{Load: &presence.Digest{
 		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Held: int64(r.Tokens), Pace: float32(r.Pace),
-		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: s.pass.see(r.State.Step, r.Running > 0, time.Now()).Microseconds(),
+		Step: uint64(r.State.Step), Open: r.Group == "" || r.State.Open, Pass: pass.Microseconds(),
 		Skew: float32(f.Skew), Loading: f.Loading,
 	}}, to)
 }
