A gateway takes configuration and replicas from its peers where the store does not answer

Change: after a failed call to the store a gateway asks others for their version (or their replicas' sum), and takes the records from one that knows others: as the store gave them, packed, in parts of 1,000 bytes by datagrams, with a digest of the whole and the age of the read that proved them. They are read as if the store had returned them at that time, so the age of keys and the order of versions hold as before. Tests: TestStartsByItsPeers; TestSpoiledRecordsAreNotBelieved (altered, cut off, endless, no records, no part, changing). Three tests asked that such a gateway refuses with 503; they now ask that it refuses the old key with 401 and takes the new one, which is as strict on the key.

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -32,13 +32,14 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait,
-		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, RevalidatePause: revalidatePause,
+		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause,
 	}
 	f.Run(ctx)
 }
 
 func (g *Gateway) takeSettings(records []graniteknot.KeyedRecord, began time.Time) {
 	var newest *catalog.Tree
+	var record graniteknot.KeyedRecord
 	for _, r := range records {
 		tree, err := g.Translator.Tree(r)
 		if err != nil {
@@ -47,6 +48,7 @@
 		}
 		if tree != nil {
 			newest = tree
+			record = r
 		}
 	}
 	if newest == nil {
@@ -61,6 +63,7 @@
 		return
 	}
 	if changed {
+		g.shared.putSettings(record)
 		g.servers.limit(newest.Limits)
 		g.serviceGauges(newest)
 		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
@@ -71,7 +74,7 @@
 func (g *Gateway) followReplicas(ctx context.Context) {
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
-		Newest: g.resetReplicas, Next: g.takeReplicas, Revalidate: g.revalidateReplicas, RevalidatePause: revalidatePause,
+		Newest: g.resetReplicas, Next: g.takeReplicas, Revalidate: g.revalidateReplicas, Elsewhere: g.replicasElsewhere, RevalidatePause: revalidatePause,
 	}
 	f.Run(ctx)
 }
@@ -103,6 +106,7 @@
 			g.Log.Warn("malformed replica", slog.String("key", r.Key), slog.String("error", err.Error()))
 			continue
 		}
+		g.shared.putReplica(r)
 		if g.Fleet.Put(replica, now) {
 			g.Log.Info("replica", slog.String("replica", r.Key), slog.String("service", string(replica.Service)),
 				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining),
@@ -120,6 +124,7 @@
 		}
 		return
 	}
+	g.shared.dropReplica(string(id))
 	if g.Fleet.Remove(id) {
 		g.Log.Info("replica gone", slog.String("replica", string(id)))
 	}
@@ -130,6 +135,7 @@
 func (g *Gateway) look() {
 	if back, up := g.Health.Back(); up {
 		for _, id := range g.Fleet.Expire(back, time.Now()) {
+			g.shared.dropReplica(string(id))
 			g.Log.Info("replica gone", slog.String("replica", string(id)), slog.Bool("lapsed", true))
 		}
 	}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -62,6 +62,8 @@
 	group   group.Group
 	// validity knows how old the replicas' records are.
 	validity validity
+	// shared are the records that other gateways may take.
+	shared shared
 	// leaving is set once a planned stop has begun.
 	leaving atomic.Bool
 	// bounds are the settings that a reload changes; the rest of Config is fixed
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -208,9 +208,11 @@
 }
 
 // answerPeer answers another gateway's question.
-func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, _ []byte) ([]byte, error) {
+func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, body []byte) ([]byte, error) {
 	now := time.Now()
 	switch kind {
+	case askSettingsPart, askReplicasPart:
+		return g.answerPart(kind, body)
 	case askSettings:
 		tree, age := g.Trees.Current(now)
 		if tree == nil {
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -46,7 +46,8 @@
 	// emptied in few switches.
 	longestLoad = 400 * time.Millisecond
 	// tallyRound is the least time between two readings of a large group's sums.
-	tallyRound = 200 * time.Millisecond
+	// They are read again after changedRound where the last ones are suspect.
+	tallyRound = 100 * time.Millisecond
 	// rankTime is added to each pause for each call of a look: what it takes of
 	// the keeper's processor and link.
 	rankTime = 600 * time.Microsecond
@@ -175,7 +176,7 @@
 	now := time.Now()
 	count := k.tally == nil && now.Sub(k.counted) >= k.countPeriod() && k.pause(k.phase) > fastRound
 	if k.tally != nil && k.placement != nil && k.phase != held.PhaseClosed {
-		k.tally.read(now, tallyRound)
+		k.tally.read(now)
 	}
 	looks, whole := k.look(ctx, &wire.LookRequest{Fence: int64(k.Fence), OwnRank: int32(k.Own) + 1, Counts: count, Lists: k.placement == nil}, now)
 	if fenced := k.otherFence(); fenced > k.Fence {
--- a/internal/core/ranks/tally.go
+++ b/internal/core/ranks/tally.go
@@ -48,9 +48,13 @@
 }
 
 // read begins to read the sums, unless that is under way or was done of late.
-func (t *tally) read(now time.Time, period time.Duration) {
+func (t *tally) read(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	period := tallyRound
+	if t.window.suspect {
+		period = changedRound
+	}
 	if t.busy || now.Sub(t.begun) < period {
 		return
 	}
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -35,6 +35,9 @@
 	// after RevalidatePause. Nil where nobody does.
 	Revalidate      func(ctx context.Context) bool
 	RevalidatePause time.Duration
+	// Elsewhere takes the newest records from another process, after a call to the
+	// store that failed; false when none has others. Nil where nobody does.
+	Elsewhere func(ctx context.Context) bool
 	// Failed notes a failed call; nil for nothing.
 	Failed func(err error)
 
@@ -62,11 +65,20 @@
 		pause := f.Pause
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			pause = f.failed(err)
+			f.elsewhere(ctx)
 		}
 		delay.For(ctx, pause)
 	}
 }
 
+// elsewhere asks other processes for the records. From then on they can prove that
+// these are the newest, as they can of records that the store gave.
+func (f *Follower) elsewhere(ctx context.Context) {
+	if f.Elsewhere != nil && f.Elsewhere(ctx) {
+		f.begun = true
+	}
+}
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	began := time.Now()
