Groups whose experts load fast plan at once, for whatever was chosen of late

Cause: waiting for counts that hold nothing of before a shift costs 150 ms and more where counts are summed up by others. With 77 ms to load an expert a switch takes 0.3 s and moves one of 16 sets, so a map for a mixture is soon followed by the next, and the wait only delays all of them. Change: changes are looked for where loading one expert takes 150 ms or more; else plans look at the last 200 ms, as before.

--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -35,8 +35,15 @@
 	// about a pass: the plan then holds nothing of before.
 	countRound   = 60 * time.Millisecond
 	changedRound = 40 * time.Millisecond
-	// windowLength is how far a plan looks back while nothing changes.
-	windowLength = 1500 * time.Millisecond
+	// windowLength is how far a plan looks back while nothing changes, rollingLength
+	// where changes are not looked for.
+	windowLength  = 1500 * time.Millisecond
+	rollingLength = 200 * time.Millisecond
+	// patientLoad is how long one expert takes to load at least for a plan to wait
+	// for counts that hold nothing of before a change: about twice that wait. Where
+	// loading is faster, a map for a mixture is soon followed by another. At 77 ms an
+	// expert a group of 24 at full load was worth 0.68 with the wait and 0.77 without.
+	patientLoad = 150 * time.Millisecond
 	// loadTime is how long a rank may load for one switch, if that is enough for
 	// one expert. Loading takes most of a switch; in the same replays, where one
 	// expert takes 98 ms, one left a skew of 1.60, three 1.71, twelve 2.10.
@@ -129,12 +136,13 @@
 // NewKeeper returns a keeper that does nothing until Run.
 func NewKeeper(p Parts) *Keeper {
 	k := &Keeper{
-		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)), window: window{Shape: p.Planner.Shape, Length: windowLength},
+		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)),
+		window: newWindow(p.Planner.Shape, loadOne(p.Engine.Experts)),
 	}
 	k.parts = partsOf(p.Members)
 	s := p.Planner.Shape
 	if s.Ranks*s.Layers*s.Experts > smallGroup {
-		k.tally = newTally(s, p.Members)
+		k.tally = newTally(k.window, p.Members)
 	}
 	return k
 }
--- a/internal/core/ranks/keeper_test.go
+++ b/internal/core/ranks/keeper_test.go
@@ -91,11 +91,22 @@
 	}
 	return ranks.NewKeeper(ranks.Parts{
 		Fence: fence, Own: own, Former: former, Members: members,
-		Engine:  &catalog.Engine{Experts: &catalog.Experts{Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2}},
+		Engine:  &catalog.Engine{Experts: b.experts()},
 		Planner: &planner.Planner{Shape: s, Threshold: 0.02, Smoothing: 1},
 	})
 }
 
+// experts states how long loading takes, unless that is the usual.
+func (b *bench) experts() *catalog.Experts {
+	s := b.group.Shape
+	out := &catalog.Experts{Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2}
+	if b.group.Load > loadTime {
+		const bandwidth = 1e9
+		out.Size, out.Bandwidth = graniteknot.Bytes(bandwidth*b.group.Load.Seconds()), bandwidth
+	}
+	return out
+}
+
 // keepFor runs a keeper for a while.
 func (b *bench) keepFor(k *ranks.Keeper, d time.Duration) graniteknot.Position {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/expertmap/held"
 	"graniteknot.org/go/planner"
 )
@@ -118,6 +119,14 @@
 	return k.misled && !k.replaced && k.phase == held.PhasePreparing
 }
 
+// loadOne is how long a rank takes to load one expert; 0 is unknown.
+func loadOne(e *catalog.Experts) time.Duration {
+	if e.Bandwidth <= 0 {
+		return 0
+	}
+	return time.Duration(float64(e.Size) / e.Bandwidth * float64(time.Second))
+}
+
 // room is what one switch may load: as many experts a rank as take loadTime, one
 // at the least. Where passes take longer than that, loading as long as one pass
 // costs no more.
--- a/internal/core/ranks/tally.go
+++ b/internal/core/ranks/tally.go
@@ -32,8 +32,8 @@
 }
 
 // newTally divides the members into parts.
-func newTally(s planner.Shape, members []*Member) *tally {
-	t := &tally{window: window{Shape: s, Length: windowLength}}
+func newTally(w window, members []*Member) *tally {
+	t := &tally{window: w}
 	for at := 0; at < len(members); at += sumOf {
 		part := &tallyPart{first: members[at].doer}
 		for _, m := range members[at+1 : min(at+sumOf, len(members))] {
--- a/internal/core/ranks/window.go
+++ b/internal/core/ranks/window.go
@@ -31,6 +31,9 @@
 	Shape planner.Shape
 	// Length is how far it looks back at most.
 	Length time.Duration
+	// Rolling windows do not look for changes: they are short, and what is planned
+	// for a mixture is soon planned again.
+	Rolling bool
 
 	// taken holds the counts of all ranks, oldest first; the first is the last
 	// that is at least Length older than the newest.
@@ -45,6 +48,14 @@
 	changed bool
 }
 
+// newWindow returns the window for experts that take so long to load.
+func newWindow(s planner.Shape, load time.Duration) window {
+	if load < patientLoad {
+		return window{Shape: s, Length: rollingLength, Rolling: true}
+	}
+	return window{Shape: s, Length: windowLength}
+}
+
 // sample is one look at the counts of all ranks.
 type sample struct {
 	at     time.Time
@@ -54,7 +65,9 @@
 // add takes in the counts of all ranks.
 func (w *window) add(at time.Time, counts [][]uint64) {
 	w.taken = append(w.taken, sample{at, counts})
-	w.judge()
+	if !w.Rolling {
+		w.judge()
+	}
 	for len(w.taken) > 2 && !w.suspect && at.Sub(w.taken[1].at) >= w.Length {
 		w.taken = w.taken[1:]
 	}
