--- a/internal/core/gateway/revalidate_test.go
+++ b/internal/core/gateway/revalidate_test.go
@@ -189,7 +189,7 @@
 
 // TestKeysGoOnWithoutProof cuts all gateways off from the store: where the operator
 // allows it they serve keys on under the last configuration, but one that hears of
-// a newer configuration refuses them until it has read that.
+// a newer configuration takes that from the gateway that has it, and goes by it.
 func TestKeysGoOnWithoutProof(t *testing.T) {
 	store := &keyed.Store{}
 	d := &deployment{store: store, keys: []string{"k1"}}
