Sight: a replica's end under a request, and which requests are the same, are told

The incident's logs could not tell its hypotheses apart: an answer is told as lost when its replica ends, when its lock-step group stands and when only the connection breaks, and a request that comes again has another id.

An attempt whose connection broke now looks whether its replica still listens: a refused connection is its end ('replica ended', counted). No decision changes.

--- a/internal/core/conns/pool.go
+++ b/internal/core/conns/pool.go
@@ -71,14 +71,7 @@
 func (p *Pool) take(a graniteknot.Address, limit int) (c *Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.hosts == nil {
-		p.hosts = map[graniteknot.Address]*host{}
-	}
-	h := p.hosts[a]
-	if h == nil {
-		h = &host{}
-		p.hosts[a] = h
-	}
+	h := p.host(a)
 	if n := len(h.idle); n > 0 {
 		c = h.idle[n-1]
 		h.idle = h.idle[:n-1]
@@ -92,6 +85,19 @@
 	return nil, true
 }
 
+// host returns an address's; called with the lock held.
+func (p *Pool) host(a graniteknot.Address) *host {
+	if p.hosts == nil {
+		p.hosts = map[graniteknot.Address]*host{}
+	}
+	h := p.hosts[a]
+	if h == nil {
+		h = &host{}
+		p.hosts[a] = h
+	}
+	return h
+}
+
 func (c *Conn) usable(now time.Time) bool {
 	bound := c.idleBound - idleMargin
 	if c.idleBound == 0 {
--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -95,6 +95,7 @@
 	if r.move.end() {
 		return stepAgain, fleet.VerdictNone, ReasonSilent
 	}
+	r.broke = true
 	if e != nil && e.Kind == conns.KindSpoiled {
 		return stepAgain, fleet.VerdictBad, ReasonSpoiled
 	}
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/meter"
+	"graniteknot.org/go/internal/core/quarantine"
 )
 
 // Forwarder takes requests to replicas. Set the exported fields.
@@ -29,6 +30,8 @@
 	Returns Returns
 	// ConnLimit bounds this process's connections to one replica of a service.
 	ConnLimit func(*catalog.Service) int
+
+	endings endings
 }
 
 const (
@@ -76,6 +79,10 @@
 	// spare is a replica's own failure, given when nothing better comes.
 	spare  *reply
 	result Result
+	// broke tells that the last attempt's connection broke under the request.
+	broke bool
+	// identity is the request's key once it was needed.
+	identity *quarantine.Key
 }
 
 // reply is a whole answer of a replica.
@@ -111,9 +118,13 @@
 			return
 		}
 		r.result.Attempts++
+		r.broke = false
 		r.result.Replica = string(lease.Replica.ID)
 		next, verdict, why := r.attempt(lease)
 		lease.End(verdict, time.Now())
+		if r.broke {
+			r.lost(lease)
+		}
 		r.logAttempt(lease, verdict, why)
 		if next == stepDone {
 			return
@@ -238,5 +249,8 @@
 		r.f.Log.Info("attempt", fields...)
 		return
 	}
+	if r.identity != nil {
+		fields = append(fields, slog.String("identity", r.identity.String()))
+	}
 	r.f.Log.Warn("attempt", append(fields, slog.String("reason", string(why)))...)
 }
