A request under which two replicas ended is kept from all others, at every gateway

Cause: what a gateway learnt of a request ended with one try of it. Attempts are bounded a try, retries by the sum of all requests, failures by replica: nothing belonged to what all tries of a request have in common, and nothing was told to other gateways or to the next life of one. So a request that ends the replica that begins it went from try to try and from gateway to gateway, at 4 s of a lock-step group each.

Now an attempt whose connection broke, and whose replica refuses connections after that, notes the replica's end under the request's path, account and body. Two ends keep the request from all replicas: it is refused at once, also while it waits for a place, and looked at again before each attempt. One that a replica answers is released. Entries are told by datagram, compared by a digest in hellos, and those that block are kept in the store; merging them is free of order (property test). At most three replicas a second are taken to end by requests, so that a loss of power marks few.

Ruled out by the logs: our orders (ends before the first one), load.

--- a/internal/core/forward/endings.go
+++ b/internal/core/forward/endings.go
@@ -111,20 +111,11 @@
 	if j.Account != nil {
 		fields = append(fields, slog.String("account", string(j.Account.Name)))
 	}
-	f.Log.Warn("replica ended", fields...)
-}
-
-// key returns what makes the request the same as another.
-func (r *run) key() quarantine.Key {
-	if r.identity == nil {
-		account := graniteknot.Account("")
-		if r.job.Account != nil {
-			account = r.job.Account.Name
-		}
-		key := quarantine.KeyOf(r.job.Path, account, r.job.Body)
-		r.identity = &key
+	if q := f.Quarantine; q != nil {
+		taken := q.Ended(key, replica.ID.Mark(), time.Now())
+		fields = append(fields, slog.Bool("counted", taken), slog.Bool("kept_from_replicas", q.Blocks(key)))
 	}
-	return *r.identity
+	f.Log.Warn("replica ended", fields...)
 }
 
 // Stop waits for what is under way beside requests.
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -30,6 +30,8 @@
 	Returns Returns
 	// ConnLimit bounds this process's connections to one replica of a service.
 	ConnLimit func(*catalog.Service) int
+	// Quarantine knows which requests are kept from replicas; nil for none.
+	Quarantine *quarantine.Table
 
 	endings endings
 }
@@ -57,6 +59,7 @@
 	r := &run{f: f, job: j, sink: sink, ctx: ctx, after: j.After}
 	r.result.Since = f.Returns.Since(j.Route, j.Request)
 	r.take()
+	r.answered()
 	return r.result
 }
 
@@ -111,12 +114,17 @@
 			r.giveUp(why)
 			return
 		}
-		lease := f.Fleet.Acquire(r.ctx, r.query(), r.waiting())
+		lease := r.acquire()
 		if lease == nil {
 			r.result.Again = max(r.result.Again, f.Fleet.Drained(r.query()))
 			r.giveUp(r.noLease())
 			return
 		}
+		if r.quarantined() {
+			lease.End(fleet.VerdictNone, time.Now())
+			r.giveUp(ReasonQuarantined)
+			return
+		}
 		r.result.Attempts++
 		r.broke = false
 		r.result.Replica = string(lease.Replica.ID)
@@ -161,6 +169,9 @@
 	if r.ctx.Err() != nil {
 		return r.stopReason()
 	}
+	if r.quarantined() {
+		return ReasonQuarantined
+	}
 	if all, _ := r.f.Fleet.Count(r.job.Service.Name, time.Now()); all == 0 {
 		return ReasonNoReplica
 	}
@@ -175,6 +186,9 @@
 	if r.job.Account != nil && !r.f.Fresh() {
 		return ReasonStale, false
 	}
+	if r.quarantined() {
+		return ReasonQuarantined, false
+	}
 	if r.result.Attempts == 0 {
 		return ReasonNone, true
 	}
--- /dev/null
+++ b/internal/core/forward/quarantined_test.go
@@ -0,0 +1,93 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/internal/core/quarantine"
+	"graniteknot.org/go/internal/delay"
+	"graniteknot.org/go/internal/group"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+// TestAttemptsEndWithTheSecondReplica lets a request with many attempts end two replicas,
+// under each kind of route that may go on, and says at once what became of it.
+func TestAttemptsEndWithTheSecondReplica(t *testing.T) {
+	for _, kind := range []catalog.RouteKind{catalog.KindRepeatable, catalog.KindStream} {
+		r := newRig(t, kind, platformtest.Crash, platformtest.Crash, platformtest.Crash, platformtest.Crash)
+		r.forward.Quarantine = &quarantine.Table{}
+		r.route.Attempts = 4
+		result := r.do(context.Background())
+		if r.ran() != 2 || result.Reason != forward.ReasonQuarantined || result.Outcome != graniteknot.OutcomeUnknown {
+			t.Errorf("%v: ran %d times, %+v", kind, r.ran(), result)
+		}
+		result = r.do(context.Background())
+		if r.ran() != 2 || result.Reason != forward.ReasonQuarantined || result.Outcome != graniteknot.OutcomeNotRun || result.Attempts != 0 {
+			t.Errorf("%v, again: ran %d times, %+v", kind, r.ran(), result)
+		}
+	}
+}
+
+// TestLostAnswersDoNotBlock tells a lost answer from an end: whatever breaks connections,
+// the request goes on to those that answer.
+func TestLostAnswersDoNotBlock(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Lose, platformtest.Lose, platformtest.Lose, platformtest.Answer("fourth"))
+	r.forward.Quarantine = &quarantine.Table{}
+	r.route.Attempts = 4
+	if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeAnswered || r.ran() != 4 {
+		t.Errorf("ran %d times, %+v", r.ran(), result)
+	}
+	if !r.forward.Quarantine.Empty() {
+		t.Error("lost answers were taken for ends")
+	}
+}
+
+// TestAnsweredRequestIsReleased serves a request whose first replica ended for another
+// reason, and goes on to serve it when others end too.
+func TestAnsweredRequestIsReleased(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Crash, platformtest.Answer("second"))
+	table := &quarantine.Table{}
+	r.forward.Quarantine = table
+	if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeAnswered {
+		t.Fatalf("%+v", result)
+	}
+	key := quarantine.KeyOf("/p/x", "desk", []byte("question"))
+	table.Ended(key, 77, time.Now())
+	table.Ended(key, 78, time.Now())
+	if table.Blocks(key) {
+		t.Error("a request that was answered is kept from replicas")
+	}
+}
+
+// TestWaitEndsWithTheRequestsQuarantine refuses a request at once that waits for a place
+// when another gateway's word comes.
+func TestWaitEndsWithTheRequestsQuarantine(t *testing.T) {
+	r := newRig(t, catalog.KindRepeatable, platformtest.Answer("first"))
+	table := &quarantine.Table{}
+	r.forward.Quarantine = table
+	key := quarantine.KeyOf("/p/x", "desk", []byte("question"))
+	table.Ended(key, 1, time.Now())
+	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 1, Stride: 1}}
+	// A report of a group that does not run stands for as long as the test does.
+	r.forward.Fleet.Report(r.replicas[0].Address(), fleet.Load{Closed: true, Taken: time.Now().Add(time.Hour)})
+	r.route.Aim = long
+	job := &forward.Job{
+		Request: r.request, Route: r.route, Service: service, Account: &catalog.Account{Name: "desk"}, End: time.Now().Add(long),
+	}
+	var told group.Group
+	told.Go(func(ctx context.Context) {
+		for r.forward.Fleet.Queued(service) == 0 && ctx.Err() == nil {
+			delay.For(ctx, time.Millisecond)
+		}
+		table.Ended(key, 2, time.Now())
+	})
+	defer told.Stop()
+	if result := r.forward.Do(context.Background(), job, r.sink); result.Reason != forward.ReasonQuarantined || r.ran() != 0 {
+		t.Errorf("ran %d times, %+v", r.ran(), result)
+	}
+}
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -32,6 +32,8 @@
 	ReasonCallerGone Reason = "caller-gone"
 	// ReasonSilent is a replica that was cut off, whose request was moved.
 	ReasonSilent Reason = "replica-silent"
+	// ReasonQuarantined is a request that ends the replicas that run it.
+	ReasonQuarantined Reason = "ends-replicas"
 	// ReasonBudget is an empty retry budget.
 	ReasonBudget Reason = "retry-budget"
 )
@@ -56,6 +58,9 @@
 	// Since is how long before this try at least its caller first tried; 0 where this may
 	// be the first.
 	Since time.Duration
+	// Identity is the same for all requests that are the same but for their ids; empty
+	// where it was not needed.
+	Identity string
 	// Replica is the last one asked.
 	Replica string
 }
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"graniteknot.org/go/internal/core/forward"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/quarantine"
 	"graniteknot.org/go/internal/core/watch"
 	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/group"
@@ -56,6 +57,8 @@
 	Members presence.View
 	Forward forward.Forwarder
 	Health  watch.Health
+	// Quarantine knows the requests that are kept from replicas.
+	Quarantine quarantine.Table
 
 	socket *presence.Socket
 	// census learns who is known from relays.
@@ -69,6 +72,8 @@
 	validity validity
 	// shared are the records that other gateways may take.
 	shared shared
+	// ward tells and keeps what the quarantine knows.
+	ward ward
 	// bundler collects what this gateway passes on as a relay; relaying tells that it is
 	// one, and relayed when it last told all others so.
 	bundler  presence.Bundler
@@ -91,9 +96,10 @@
 	g.Health.Log = p.Log
 	g.Forward = forward.Forwarder{
 		Dialect: p.Translator, Pool: &g.Pool, Fleet: &g.Fleet, Log: p.Log, Meter: p.Meter, Zone: p.Config.Zone,
-		Fresh: g.fresh, ConnLimit: g.connLimit,
+		Fresh: g.fresh, ConnLimit: g.connLimit, Quarantine: &g.Quarantine,
 		Budgets: &forward.Budgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
+	g.Quarantine.Changed = g.quarantineChanged
 	return g
 }
 
@@ -122,6 +128,7 @@
 func (g *Gateway) follow() {
 	g.group.Go(g.followSettings)
 	g.group.Go(g.followReplicas)
+	g.group.Go(g.followQuarantine)
 	registrar := &presence.Registrar{
 		Store: g.Store, Self: g.self(), View: &g.Members, Health: &g.Health, Log: g.Log,
 		Joined: g.greet, Elsewhere: g.askCensus, Met: func() { close(g.met) },
@@ -133,6 +140,7 @@
 	g.every(sweepPeriod, g.Pool.Sweep)
 	g.every(lookPeriod, g.look)
 	g.every(silencePeriod, g.watchSilence)
+	g.every(wardPeriod, g.keepQuarantine)
 }
 
 // every calls step at a period until the gateway stops.
--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -55,7 +55,7 @@
 // greeting is what this gateway tells of itself.
 func (g *Gateway) greeting() presence.Message {
 	self := g.self()
-	hello := presence.Message{Ready: g.ready(), Self: &self, Relay: g.relaying.Load()}
+	hello := presence.Message{Ready: g.ready(), Self: &self, Relay: g.relaying.Load(), Quarantine: g.Quarantine.Digest()}
 	if tree, _ := g.Trees.Current(time.Now()); tree != nil {
 		hello.Settings = uint64(tree.Version)
 	}
@@ -92,8 +92,15 @@
 		g.told(m, now)
 		return
 	}
+	if m.Quarantined != nil {
+		g.quarantineHeard(m, now)
+		return
+	}
 	g.Members.Heard(m, now)
 	g.bundler.Take(m, now)
+	if m.Self != nil {
+		g.compareQuarantine(m)
+	}
 	if m.Load != nil {
 		g.Fleet.Report(m.Load.Target, loadOf(m.Load, now))
 	}
--- /dev/null
+++ b/internal/core/gateway/quarantine.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/quarantine"
+	"graniteknot.org/go/internal/core/watch"
+)
+
+// A request that ends replicas comes again at any gateway, so what one learns of it is
+// worth nothing unless all know it. It is told at once by datagram; hellos carry a digest,
+// and who hears another one takes the rest, so that lost datagrams and cut links leave
+// nothing out. Requests that are kept from replicas stand in the store as well, for
+// gateways that reach no other and for the time after all have ended.
+
+const (
+	// askQuarantinePart asks for a part of what is known.
+	askQuarantinePart presence.Kind = 22
+	// mostTold is how many entries one datagram holds, of at most 45 bytes each.
+	mostTold = 20
+	// quarantineWait is how long one read of the records waits for a change.
+	quarantineWait = 20 * time.Second
+	// quarantinePause is the time between two looks whether other gateways still read
+	// the records, where they do so for all.
+	quarantinePause = time.Second
+	// wardPeriod is the time between two looks whether the store has a record of each
+	// request that is kept from replicas. Whoever found it out writes it; had that
+	// process ended, another does after wardPatience.
+	wardPeriod   = 500 * time.Millisecond
+	wardPatience = 1500 * time.Millisecond
+)
+
+// ward knows what other processes and the store have of the quarantine. The zero value
+// knows nothing.
+type ward struct {
+	mu sync.Mutex
+	// taken is the digest that was last taken of each gateway.
+	taken map[graniteknot.BoxName]uint64
+	// stored are the requests that the store has a record of.
+	stored map[quarantine.Key]bool
+	// due is when each request that it has none of is to be written.
+	due map[quarantine.Key]time.Time
+}
+
+// quarantineChanged tells what an own request showed.
+func (g *Gateway) quarantineChanged(e quarantine.Entry) {
+	g.logQuarantined(&e)
+	g.ward.expect(&e, time.Now())
+	g.tellQuarantine([]quarantine.Entry{e}, g.Members.Audience(g.Config.Box, time.Now()))
+	if g.relaying.Load() {
+		g.tellQuarantine([]quarantine.Entry{e}, g.Members.InZone(g.self()))
+	}
+}
+
+// logQuarantined tells of a request that is kept from replicas from now on, or no more.
+func (g *Gateway) logQuarantined(e *quarantine.Entry) {
+	switch {
+	case e.Blocks():
+		g.Log.Warn("request quarantined", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.Lives)))
+	case e.Released:
+		g.Log.Info("request released", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.Lives)))
+	}
+}
+
+// tellQuarantine tells other gateways entries, few enough for a datagram.
+func (g *Gateway) tellQuarantine(entries []quarantine.Entry, to []graniteknot.Address) {
+	body, err := quarantine.Encode(entries)
+	if err != nil {
+		g.Log.Warn("quarantine", slog.String("error", err.Error()))
+		return
+	}
+	g.socket.Send(presence.Message{Quarantined: body}, to)
+}
+
+// quarantineHeard takes in what another gateway told; a relay passes on what is new.
+func (g *Gateway) quarantineHeard(m *presence.Message, now time.Time) {
+	entries, err := quarantine.Decode(m.Quarantined)
+	if err != nil {
+		g.Log.Warn("quarantine", slog.String("peer", string(m.Box)), slog.String("error", err.Error()))
+		return
+	}
+	fresh := g.mergeQuarantine(entries, now)
+	if len(fresh) > 0 && g.relaying.Load() {
+		g.tellQuarantine(fresh, g.Members.InZone(g.self()))
+	}
+}
+
+// mergeQuarantine takes in entries and returns those that said something new.
+func (g *Gateway) mergeQuarantine(entries []quarantine.Entry, now time.Time) []quarantine.Entry {
+	var fresh []quarantine.Entry
+	for i := range entries {
+		if !g.Quarantine.Merge(&entries[i], now) {
+			continue
+		}
+		// Together with what was known it may say more than what was told.
+		if whole, known := g.Quarantine.Entry(entries[i].Key, now); known {
+			fresh = append(fresh, whole)
+			g.logQuarantined(&whole)
+			g.ward.expect(&whole, now.Add(wardPatience))
+		}
+	}
+	return fresh
+}
+
+// compareQuarantine takes what another gateway knows where its digest differs.
+func (g *Gateway) compareQuarantine(m *presence.Message) {
+	if m.Quarantine == 0 || m.Quarantine == g.Quarantine.Digest() || !g.ward.differs(m.Box, m.Quarantine) {
+		return
+	}
+	box, from := m.Box, m.Self.Peers
+	g.group.Go(func(ctx context.Context) {
+		records, err := g.socket.Fetch(ctx, from, askQuarantinePart)
+		if err != nil {
+			g.ward.forget(box)
+			return
+		}
+		now := time.Now()
+		for _, r := range records {
+			entries, err := quarantine.Decode(r.Value)
+			if err != nil {
+				g.Log.Warn("quarantine", slog.String("peer", string(box)), slog.String("error", err.Error()))
+				continue
+			}
+			fresh := g.mergeQuarantine(entries, now)
+			if len(fresh) > 0 && g.relaying.Load() {
+				g.tellQuarantine(fresh, g.Members.InZone(g.self()))
+			}
+		}
+	})
+}
+
+// answerQuarantine answers another gateway's question for a part of what is known.
+func (g *Gateway) answerQuarantine(body []byte) ([]byte, error) {
+	offset, err := presence.Offset(body)
+	if err != nil {
+		return nil, err
+	}
+	packed, err := g.packQuarantine(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	return packed.Part(offset)
+}
+
+// packQuarantine packs all entries, some in a record.
+func (g *Gateway) packQuarantine(now time.Time) (presence.Packed, error) {
+	var records []graniteknot.KeyedRecord
+	entries := g.Quarantine.Entries(now)
+	for len(entries) > 0 {
+		n := min(mostTold, len(entries))
+		value, err := quarantine.Encode(entries[:n])
+		if err != nil {
+			return nil, err
+		}
+		records, entries = append(records, graniteknot.KeyedRecord{Value: value}), entries[n:]
+	}
+	return presence.Pack(records)
+}
+
+// followQuarantine reads the records. In a large deployment the gateways that read for
+// all do, and their digests tell the others.
+func (g *Gateway) followQuarantine(ctx context.Context) {
+	g.meet(ctx)
+	f := watch.Follower{
+		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Wait: quarantineWait,
+		Newest: g.takeQuarantine, Next: g.takeQuarantine, Early: true, RevalidatePause: quarantinePause,
+		Revalidate: func(context.Context) bool { return !g.readsQuarantine(time.Now()) },
+	}
+	f.Run(ctx)
+}
+
+// readsQuarantine tells whether this gateway reads the records itself.
+func (g *Gateway) readsQuarantine(now time.Time) bool { return !g.many(now) || g.standsBy(now) }
+
+func (g *Gateway) takeQuarantine(records []graniteknot.KeyedRecord, _ time.Time) {
+	now := time.Now()
+	for _, r := range records {
+		e, err := quarantine.EntryOf(r)
+		if err != nil {
+			g.Log.Warn("malformed quarantine", slog.String("key", r.Key), slog.String("error", err.Error()))
+			continue
+		}
+		g.ward.store(&e)
+		if g.Quarantine.Merge(&e, now) {
+			g.Log.Info("quarantine record", slog.String("identity", r.Key), slog.Bool("released", e.Released), slog.Int64("position", int64(r.At)))
+		}
+	}
+}
+
+// keepQuarantine writes the records that the store lacks, and has entries go that have
+// stood for long enough.
+func (g *Gateway) keepQuarantine() {
+	now := time.Now()
+	for _, k := range g.Quarantine.Expire(now) {
+		g.ward.expect(&quarantine.Entry{Key: k, Released: true}, now)
+	}
+	if !g.readsQuarantine(now) {
+		return
+	}
+	for _, k := range g.ward.missing(now) {
+		if !g.writeQuarantine(k, now) {
+			return
+		}
+	}
+}
+
+// writeQuarantine writes the record of one request; one that fails is tried again with
+// the next look.
+func (g *Gateway) writeQuarantine(k quarantine.Key, now time.Time) bool {
+	e, known := g.Quarantine.Entry(k, now)
+	if !known {
+		e = quarantine.Entry{Key: k, Released: true}
+	}
+	r, err := quarantine.RecordOf(&e)
+	if err == nil {
+		_, err = g.Store.Append(g.group.Context(), graniteknot.TopicQuarantine, r)
+	}
+	if err != nil {
+		g.Log.Warn("quarantine record", slog.String("identity", k.String()), slog.String("error", err.Error()))
+		return false
+	}
+	g.ward.store(&e)
+	return true
+}
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -211,6 +211,8 @@
 	switch kind {
 	case askSettingsPart, askReplicasPart:
 		return g.answerPart(kind, body)
+	case askQuarantinePart:
+		return g.answerQuarantine(body)
 	case askSettings:
 		tree, age := g.Trees.Current(now)
 		if tree == nil {
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -24,6 +24,9 @@
 // after it had waited: sooner, it would meet the same crowd.
 const busyAgain = 1800 * time.Millisecond
 
+// quarantinedAgain is when a caller may come back whose request ends replicas: not soon.
+const quarantinedAgain = time.Minute
+
 // serve takes one caller's request to its answer.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -163,8 +166,11 @@
 
 // again is when the caller of a request that did not run may come back.
 func again(r *forward.Result) time.Duration {
-	if r.Reason == forward.ReasonBusy {
+	switch r.Reason {
+	case forward.ReasonBusy:
 		return time.Duration((1 + 0.4*rand.Float64()) * float64(max(r.Again, busyAgain)))
+	case forward.ReasonQuarantined:
+		return quarantinedAgain
 	}
 	return max(r.Again, refusedAgain)
 }
@@ -195,6 +201,9 @@
 		x.gateway.Log.Info("request", fields...)
 		return
 	}
+	if result.Identity != "" {
+		fields = append(fields, slog.String("identity", result.Identity))
+	}
 	x.gateway.Log.Warn("request", append(fields, slog.String("reason", string(result.Reason)))...)
 }
 
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -25,6 +25,10 @@
 	Relay bool `cbor:"10,keyasint,omitempty"`
 	// Bundle is what a relay passes on.
 	Bundle *Bundle `cbor:"11,keyasint,omitempty"`
+	// Quarantine is the digest of the requests that the sender knows to end replicas; 0 is
+	// none. Quarantined are some of them, as package quarantine writes them.
+	Quarantine  uint64 `cbor:"12,keyasint,omitempty"`
+	Quarantined []byte `cbor:"13,keyasint,omitempty"`
 	// Question and Answer are set where the datagram is one.
 	Question *Question `cbor:"7,keyasint,omitempty"`
 	Answer   *Answer   `cbor:"8,keyasint,omitempty"`
--- /dev/null
+++ b/internal/core/quarantine/entry.go
@@ -0,0 +1,82 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"graniteknot.org/go/catalog"
+)
+
+const (
+	// enough is under how many ended replicas a request is kept from all others. One may
+	// end for any reason under a dozen requests; that the next one that gets the same
+	// request ends too is chance once in some hundred ends. Each more costs all callers
+	// of a lock-step group the seconds until it opens again.
+	enough = 2
+	// mostLives bounds the lives that are kept of an entry; those with the least marks
+	// are, so that all processes keep the same.
+	mostLives = 4
+)
+
+// Entry is what is known of one request.
+type Entry struct {
+	Key Key `cbor:"1,keyasint"`
+	// Lives are the marks of the replicas that ended under the request, the least first,
+	// none twice.
+	Lives []catalog.Mark `cbor:"2,keyasint,omitempty"`
+	// Released requests are kept from nobody, whatever Lives: a replica has answered it,
+	// or an operator said so. Once set it stays.
+	Released bool `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago it was first known, at least, in milliseconds.
+	Age int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Blocks tells whether the request is kept from replicas.
+func (e *Entry) Blocks() bool { return !e.Released && len(e.Lives) >= enough }
+
+// merge takes in what another entry of the same key says; false when nothing is new.
+func (e *Entry) merge(other *Entry) bool {
+	lives := slices.Concat(e.Lives, other.Lives)
+	slices.Sort(lives)
+	lives = slices.Compact(lives)
+	lives = lives[:min(len(lives), mostLives)]
+	released := e.Released || other.Released
+	if released == e.Released && slices.Equal(lives, e.Lives) {
+		return false
+	}
+	e.Lives, e.Released = lives, released
+	return true
+}
+
+// sum is the entry's part of a table's digest.
+func (e *Entry) sum() uint64 {
+	b := append([]byte(nil), e.Key[:]...)
+	for _, life := range e.Lives {
+		b = binary.BigEndian.AppendUint32(b, uint32(life))
+	}
+	if e.Released {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// item is an entry as a table holds it.
+type item struct {
+	Entry
+
+	// since is when the request was first known.
+	since time.Time
+	// waiting are called once the entry blocks.
+	waiting map[*func()]struct{}
+}
+
+// over tells whether an entry has stood for long enough.
+func (i *item) over(now time.Time) bool {
+	if i.Blocks() {
+		return now.Sub(i.since) > keepBlocking
+	}
+	return now.Sub(i.since) > keepOther
+}
--- /dev/null
+++ b/internal/core/quarantine/table.go
@@ -0,0 +1,274 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"graniteknot.org/go/catalog"
+)
+
+const (
+	// keepBlocking is for how long a request is kept from replicas: longer than a fault
+	// in the replicas' software takes to be found and mended.
+	keepBlocking = 24 * time.Hour
+	// keepOther is for how long it is known that one replica ended under a request, or
+	// that it was released.
+	keepOther = 10 * time.Minute
+	// mostEntries bounds a table: 100 KB.
+	mostEntries = 1024
+	// atOnce is the time within which at most mostAtOnce ends are taken for a request's
+	// doing. A loss of power ends hundreds of replicas, each under a dozen requests.
+	atOnce     = time.Second
+	mostAtOnce = 3
+)
+
+// Table knows the requests under which replicas ended. The zero value is empty.
+type Table struct {
+	// Changed is told of each entry that this process's own requests changed. Set before
+	// use; nil for nobody.
+	Changed func(Entry)
+
+	mu    sync.Mutex
+	items map[Key]*item
+	// digest is the sum of all entries.
+	digest uint64
+	// ends are the lives that ended of late.
+	ends []end
+	// count is the number of items, read on each request's way.
+	count atomic.Int32
+}
+
+// end is the end of a replica's life.
+type end struct {
+	life catalog.Mark
+	at   time.Time
+}
+
+// Empty tells whether nothing is known of any request.
+func (t *Table) Empty() bool { return t.count.Load() == 0 }
+
+// Blocks tells whether a request is kept from replicas.
+func (t *Table) Blocks(k Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.items[k]
+	return i != nil && i.Blocks()
+}
+
+// Ended notes that a replica ended while it worked on a request. It returns false where
+// so many end at once that the requests are not the cause.
+func (t *Table) Ended(k Key, life catalog.Mark, now time.Time) bool {
+	if !t.single(life, now) {
+		return false
+	}
+	t.own(Entry{Key: k, Lives: []catalog.Mark{life}}, now)
+	return true
+}
+
+// Answered notes that a replica answered a request: it does not end each that begins it.
+func (t *Table) Answered(k Key, now time.Time) {
+	t.mu.Lock()
+	known := t.items[k] != nil
+	t.mu.Unlock()
+	if known {
+		t.own(Entry{Key: k, Released: true}, now)
+	}
+}
+
+// single tells whether few replicas end at a time.
+func (t *Table) single(life catalog.Mark, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ends = slices.DeleteFunc(t.ends, func(e end) bool { return now.Sub(e.at) > atOnce })
+	if slices.ContainsFunc(t.ends, func(e end) bool { return e.life == life }) {
+		return true
+	}
+	if len(t.ends) >= mostAtOnce {
+		return false
+	}
+	t.ends = append(t.ends, end{life, now})
+	return true
+}
+
+// own takes in what this process found out, and tells it.
+func (t *Table) own(e Entry, now time.Time) {
+	if !t.Merge(&e, now) || t.Changed == nil {
+		return
+	}
+	if whole, known := t.Entry(e.Key, now); known {
+		t.Changed(whole)
+	}
+}
+
+// Merge takes in what is known elsewhere; false when nothing is new.
+func (t *Table) Merge(e *Entry, now time.Time) bool {
+	since := now.Add(-time.Duration(e.Age) * time.Millisecond)
+	fresh := item{Entry: Entry{Key: e.Key}, since: since}
+	fresh.merge(e)
+	if fresh.over(now) || len(e.Lives) == 0 && !e.Released {
+		return false
+	}
+	t.mu.Lock()
+	i := t.items[e.Key]
+	if i == nil {
+		i = t.add(&fresh, now)
+		t.mu.Unlock()
+		return i != nil
+	}
+	if since.Before(i.since) {
+		i.since = since
+	}
+	before := i.sum()
+	changed := i.merge(e)
+	t.digest ^= before ^ i.sum()
+	var wake []*func()
+	if changed && i.Blocks() {
+		for w := range i.waiting {
+			wake = append(wake, w)
+		}
+	}
+	t.mu.Unlock()
+	for _, w := range wake {
+		(*w)()
+	}
+	return changed
+}
+
+// add takes in an item that is new; nil where there is no room. Called with the lock held.
+func (t *Table) add(fresh *item, now time.Time) *item {
+	if len(t.items) >= mostEntries {
+		t.expire(now)
+	}
+	if len(t.items) >= mostEntries && !t.evict(fresh) {
+		return nil
+	}
+	if t.items == nil {
+		t.items = map[Key]*item{}
+	}
+	t.items[fresh.Key] = fresh
+	t.digest ^= fresh.sum()
+	t.count.Store(int32(len(t.items)))
+	return fresh
+}
+
+// evict makes room for an item: the oldest goes of those that block nothing, and else the
+// oldest of all, but none that blocks for one that does not. Called with the lock held.
+func (t *Table) evict(fresh *item) bool {
+	var oldest *item
+	for _, i := range t.items {
+		if oldest == nil || oldest.Blocks() && !i.Blocks() || oldest.Blocks() == i.Blocks() && i.since.Before(oldest.since) {
+			oldest = i
+		}
+	}
+	if oldest.Blocks() && !fresh.Blocks() {
+		return false
+	}
+	t.remove(oldest)
+	return true
+}
+
+func (t *Table) remove(i *item) {
+	delete(t.items, i.Key)
+	t.digest ^= i.sum()
+	t.count.Store(int32(len(t.items)))
+}
+
+// Expire forgets the entries that have stood for long enough, and returns the keys of
+// those that blocked.
+func (t *Table) Expire(now time.Time) []Key {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.expire(now)
+}
+
+func (t *Table) expire(now time.Time) []Key {
+	var out []Key
+	for k, i := range t.items {
+		if !i.over(now) {
+			continue
+		}
+		if i.Blocks() {
+			out = append(out, k)
+		}
+		t.remove(i)
+	}
+	return out
+}
+
+// Digest is a sum of all entries, the same for all who know the same.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
+
+// Entries returns all entries, in the order of their keys.
+func (t *Table) Entries(now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Entry, 0, len(t.items))
+	for _, i := range t.items {
+		out = append(out, i.told(now))
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return slices.Compare(a.Key[:], b.Key[:]) })
+	return out
+}
+
+// Blocking counts the requests that are kept from replicas.
+func (t *Table) Blocking() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, i := range t.items {
+		if i.Blocks() {
+			n++
+		}
+	}
+	return n
+}
+
+// Entry returns what is known of a request; false when nothing is.
+func (t *Table) Entry(k Key, now time.Time) (Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.items[k]; i != nil {
+		return i.told(now), true
+	}
+	return Entry{}, false
+}
+
+// told is the entry as it is told to others.
+func (i *item) told(now time.Time) Entry {
+	e := i.Entry
+	e.Age = now.Sub(i.since).Milliseconds()
+	return e
+}
+
+// While returns a context that also ends once a request is kept from replicas; it costs
+// nothing while nothing is known of the request. Call the function when done.
+func (t *Table) While(ctx context.Context, k Key) (context.Context, func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.items[k]
+	if i == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	if i.Blocks() {
+		cancel()
+	}
+	wake := func() { cancel() }
+	if i.waiting == nil {
+		i.waiting = map[*func()]struct{}{}
+	}
+	i.waiting[&wake] = struct{}{}
+	return ctx, func() {
+		t.mu.Lock()
+		delete(i.waiting, &wake)
+		t.mu.Unlock()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/core/quarantine/table_test.go
@@ -0,0 +1,217 @@
+package quarantine_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/quarantine"
+)
+
+var start = time.Unix(1000, 0)
+
+func key(body string) quarantine.Key { return quarantine.KeyOf("/p", "a", []byte(body)) }
+
+func TestSecondEndBlocks(t *testing.T) {
+	var table quarantine.Table
+	k := key("x")
+	if !table.Empty() || table.Blocks(k) {
+		t.Error("an empty table knows something")
+	}
+	table.Ended(k, 1, start)
+	table.Ended(k, 1, start)
+	if table.Blocks(k) {
+		t.Error("one replica's end, told twice, blocks")
+	}
+	table.Ended(k, 2, start.Add(time.Minute))
+	if !table.Blocks(k) || table.Blocks(key("y")) || table.Blocking() != 1 {
+		t.Error("two ends do not block, or block another request")
+	}
+}
+
+// TestAnswerReleases takes a request for harmless that was at two replicas which ended for
+// other reasons, once a third answers it.
+func TestAnswerReleases(t *testing.T) {
+	var table quarantine.Table
+	k := key("x")
+	table.Answered(k, start)
+	if !table.Empty() {
+		t.Error("an answer of which nothing was known is kept")
+	}
+	table.Ended(k, 1, start)
+	table.Answered(k, start)
+	table.Ended(k, 2, start)
+	table.Ended(k, 3, start)
+	if table.Blocks(k) {
+		t.Error("a request that was answered is kept from replicas")
+	}
+}
+
+// TestManyEndsAtOnceAreNoRequests' doing: a loss of power ends replicas under whatever
+// they had.
+func TestManyEndsAtOnceAreNoRequestsDoing(t *testing.T) {
+	var table quarantine.Table
+	taken := 0
+	for life := range catalog.Mark(100) {
+		if table.Ended(key(string(rune('a'+life))), life+1, start) {
+			taken++
+		}
+	}
+	if taken != 3 {
+		t.Errorf("%d ends at the same time were taken for requests' doing", taken)
+	}
+	if !table.Ended(key("later"), 200, start.Add(2*time.Second)) {
+		t.Error("an end two seconds later was not taken")
+	}
+}
+
+func drawEntries(t *rapid.T) []quarantine.Entry {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) quarantine.Entry {
+		return quarantine.Entry{
+			Key:      key(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")),
+			Lives:    rapid.SliceOfN(rapid.Custom(func(t *rapid.T) catalog.Mark { return catalog.Mark(rapid.IntRange(1, 9).Draw(t, "life")) }), 1, 4).Draw(t, "lives"),
+			Released: rapid.IntRange(0, 9).Draw(t, "released") == 0,
+		}
+	}), 0, 12).Draw(t, "entries")
+}
+
+// TestOrderDoesNotMatter merges the same entries in two orders, some twice and some by way
+// of another table: all know the same.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := drawEntries(t)
+		var one, other, third quarantine.Table
+		for i := range entries {
+			one.Merge(&entries[i], start)
+		}
+		for _, i := range rapid.Permutation(indexes(len(entries))).Draw(t, "order") {
+			other.Merge(&entries[i], start)
+			other.Merge(&entries[i], start)
+		}
+		body, err := quarantine.Encode(other.Entries(start))
+		if err != nil {
+			t.Fatal(err)
+		}
+		told, err := quarantine.Decode(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range told {
+			third.Merge(&told[i], start)
+			if third.Merge(&told[i], start) {
+				t.Fatal("the same said something new twice")
+			}
+		}
+		if one.Digest() != other.Digest() || one.Digest() != third.Digest() || one.Blocking() != third.Blocking() {
+			t.Fatalf("%+v, %+v, %+v", one.Entries(start), other.Entries(start), third.Entries(start))
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// TestTableIsBounded keeps what blocks and drops the oldest of the rest.
+func TestTableIsBounded(t *testing.T) {
+	var table quarantine.Table
+	blocking := quarantine.Entry{Key: key("blocking"), Lives: []catalog.Mark{1, 2}}
+	table.Merge(&blocking, start)
+	for i := range 5000 {
+		e := quarantine.Entry{Key: quarantine.KeyOf("/p", "a", []byte{byte(i), byte(i >> 8)}), Lives: []catalog.Mark{1}}
+		table.Merge(&e, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	if n := len(table.Entries(start)); n > 1024 || !table.Blocks(blocking.Key) {
+		t.Errorf("%d entries, blocks: %v", n, table.Blocks(blocking.Key))
+	}
+}
+
+// TestEntriesEnd forgets a single end before a request that is blocked, and an old entry
+// that another process tells does not come back.
+func TestEntriesEnd(t *testing.T) {
+	var table quarantine.Table
+	single, blocked := key("single"), key("blocked")
+	table.Ended(single, 1, start)
+	table.Ended(blocked, 1, start)
+	table.Ended(blocked, 2, start)
+	later := start.Add(time.Hour)
+	if ended := table.Expire(later); len(ended) != 0 || len(table.Entries(later)) != 1 || !table.Blocks(blocked) {
+		t.Errorf("after an hour: %v, %+v", ended, table.Entries(later))
+	}
+	told := table.Entries(later)[0]
+	last := start.Add(25 * time.Hour)
+	if ended := table.Expire(last); len(ended) != 1 || ended[0] != blocked || !table.Empty() {
+		t.Errorf("after a day: %v", ended)
+	}
+	told.Age += (24 * time.Hour).Milliseconds()
+	if table.Merge(&told, last) || !table.Empty() || table.Digest() != 0 {
+		t.Error("an old entry came back")
+	}
+}
+
+// TestWhoWaitsIsTold ends the wait of a request that is kept from replicas meanwhile.
+func TestWhoWaitsIsTold(t *testing.T) {
+	var table quarantine.Table
+	k := key("x")
+	table.Ended(k, 1, start)
+	waiting, done := table.While(context.Background(), k)
+	defer done()
+	other, doneOther := table.While(context.Background(), key("y"))
+	defer doneOther()
+	if waiting.Err() != nil {
+		t.Error("one end ended the wait")
+	}
+	e := quarantine.Entry{Key: k, Lives: []catalog.Mark{7}}
+	table.Merge(&e, start)
+	if waiting.Err() == nil || other.Err() != nil {
+		t.Error("the wait goes on, or another one's ended")
+	}
+	late, doneLate := table.While(context.Background(), k)
+	defer doneLate()
+	if late.Err() == nil {
+		t.Error("a request that is blocked waits")
+	}
+}
+
+// TestRecords writes and reads records, and refuses those of other writers.
+func TestRecords(t *testing.T) {
+	e := quarantine.Entry{Key: key("x"), Lives: []catalog.Mark{3, 9}}
+	r, err := quarantine.RecordOf(&e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := quarantine.EntryOf(r)
+	if err != nil || back.Key != e.Key || !back.Blocks() {
+		t.Errorf("%+v, %v", back, err)
+	}
+	e.Released = true
+	if r, err = quarantine.RecordOf(&e); err != nil || len(r.Value) != 0 {
+		t.Errorf("a released request's record: %+v, %v", r, err)
+	}
+	if back, err = quarantine.EntryOf(r); err != nil || !back.Released {
+		t.Errorf("%+v, %v", back, err)
+	}
+	name := key("x").String()
+	for _, odd := range []graniteknot.KeyedRecord{
+		{Key: "x", Value: []byte(`{"lives":[1,2]}`)}, {Key: name, Value: []byte(`{}`)}, {Key: name, Value: []byte(`null`)},
+		{Key: name, Value: []byte(`{"lives":[1]}`)}, {Key: name, Value: []byte(`{"lives":"1"}`)}, {Key: name, Value: []byte{0xff, 0}},
+		{Key: name, Value: []byte(`{"lives":[1,2,3,4,5]}`)}, {Key: name, Value: []byte(`{"lives":[-1,2]}`)}, {Key: name + "00", Value: []byte(`{"lives":[1,2]}`)},
+	} {
+		if got, err := quarantine.EntryOf(odd); err == nil {
+			t.Errorf("%s %q was read as %+v", odd.Key, odd.Value, got)
+		}
+	}
+	for _, odd := range [][]byte{nil, {0xff}, []byte("text"), {0x81, 0x01}} {
+		if got, err := quarantine.Decode(odd); err == nil {
+			t.Errorf("%x was read as %+v", odd, got)
+		}
+	}
+}
--- a/keyed.go
+++ b/keyed.go
@@ -18,6 +18,8 @@
 	TopicReplicas Topic = "replicas"
 	// TopicMembers holds a record of each process of the system.
 	TopicMembers Topic = "graniteknot-members"
+	// TopicQuarantine holds a record of each request that is kept from replicas.
+	TopicQuarantine Topic = "graniteknot-quarantine"
 	// TopicKeepers holds a record of each group's map keeper.
 	TopicKeepers Topic = "graniteknot-keepers"
 )
