A life is an id and its start: a replica that starts again under its id is another one

Replicas may start again under the id that they had, told by their start. The catalogue took the id for the life, so such a start was not seen at all: a new life inherited its former one's leaving, failures, silence and own requests, was not tried again by who had tried the former, and two ends of one id counted as one. catalog.Life (id and start) now stands wherever a life is meant: marks in digests, the list of those tried, ends under requests, digests of what is registered, log lines; the record's position orders, never the start's time. Requests at a former life are made elsewhere with the next look. A sidecar asks for its target's id again when its start changes.

What the header that names an expected replica no longer proves: that no request reaches a life other than the one chosen. A request that may run once is sent once on one connection, which ends with the life; it is tried again only after that answer said that it did not run, so it runs at one life at most, whichever.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -3,30 +3,17 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	graniteknot "graniteknot.org/go"
 )
 
-// ReplicaID names one life of a replica.
+// ReplicaID names a replica. A replica that starts again may have the same; see Life.
 type ReplicaID string
 
-// Mark is a short sum of a replica's id, by which processes tell each other which life
-// a target has now; 0 is unknown. Two ids of one address have the same in 1 of 4 billion
-// cases; then a request to the one that has ended is refused, as without marks.
-type Mark uint32
-
-// Mark returns the id's; 0 for an empty id.
-func (id ReplicaID) Mark() Mark {
-	if id == "" {
-		return 0
-	}
-	return Mark(max(1, uint32(xxhash.Sum64String(string(id)))))
-}
-
 // Replica is one registered life of a replica.
 type Replica struct {
-	ID      ReplicaID
+	ID ReplicaID
+	// Born is when this life began.
+	Born    graniteknot.Born
 	Service graniteknot.Service
 	Address graniteknot.Address
 	Zone    graniteknot.AvailabilityZone
@@ -45,3 +32,6 @@
 	// Written is where the record stands in the store.
 	Written graniteknot.Position
 }
+
+// Life names the life that the record is of.
+func (r *Replica) Life() Life { return Life{ID: r.ID, Born: r.Born} }
--- a/expertmap/held/rank.go
+++ b/expertmap/held/rank.go
@@ -12,6 +12,8 @@
 
 // Report is what a rank tells of itself.
 type Report struct {
+	// Born is when the rank's life began; 0 where it does not say.
+	Born graniteknot.Born
 	// Group is empty for replicas that are no ranks.
 	Group GroupName
 	Rank  graniteknot.Rank
--- a/internal/core/fleet/digest.go
+++ b/internal/core/fleet/digest.go
@@ -15,11 +15,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out Digest
-	for id, x := range t.targets {
+	for _, x := range t.targets {
 		var hash xxhash.Digest
 		hash.Reset()
 		// Writes to a hash do not fail.
-		_, _ = hash.WriteString(string(id))
+		_, _ = hash.WriteString(x.replica.Life().String())
 		_, _ = hash.WriteString("\x00" + string(x.replica.Address) + "\x00")
 		_, _ = hash.Write(binary.AppendUvarint(nil, boolean(x.replica.Draining)))
 		out ^= Digest(hash.Sum64())
--- a/internal/core/fleet/group.go
+++ b/internal/core/fleet/group.go
@@ -156,7 +156,7 @@
 	var may []*target
 	for _, x := range s.targets {
 		busy := float64(len(x.own) + x.others(q.Now))
-		if s.takes(x, q.Now) && busy < slots/x.slower(s.load, q.Now) && !slices.Contains(q.Tried, x.replica.ID) {
+		if s.takes(x, q.Now) && busy < slots/x.slower(s.load, q.Now) && !slices.Contains(q.Tried, x.replica.Life()) {
 			may = append(may, x)
 		}
 	}
--- a/internal/core/fleet/life.go
+++ b/internal/core/fleet/life.go
@@ -33,7 +33,7 @@
 
 // outlive finds out which records at an address are of lives that have ended: those that
 // no heartbeat has come to since the sidecar there told of another life. After a loss of
-// power replicas come back at the same addresses with other ids while the records of the
+// power replicas come back at the same addresses while the records of the
 // former ones stand for three heartbeats more; 315 requests were sent to these within
 // 0.8 s, since the new replica's report was taken for the old one's. A sidecar that did not
 // notice its replica's end keeps the next one back for a heartbeat. Called with the lock
@@ -41,7 +41,7 @@
 func (t *Table) outlive(a graniteknot.Address) {
 	known, told := t.lives[a]
 	for _, x := range t.addresses[a] {
-		x.outlived = told && x.replica.ID.Mark() != known.mark && !x.beat.After(known.since)
+		x.outlived = told && x.replica.Life().Mark() != known.mark && !x.beat.After(known.since)
 	}
 }
 
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -16,7 +16,7 @@
 	// Gap is the longest useful pause between events; 0 is no bound.
 	Gap time.Duration
 	// Tried are not chosen again while others are left.
-	Tried []catalog.ReplicaID
+	Tried []catalog.Life
 	// Zone is preferred among equals.
 	Zone graniteknot.AvailabilityZone
 	Now  time.Time
@@ -30,9 +30,9 @@
 func (t *Table) Pick(q *Query) *Lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best := t.best(q, func(x *target) bool { return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.ID) })
+	best := t.best(q, func(x *target) bool { return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.Life()) })
 	if best == nil {
-		best = t.best(q, func(x *target) bool { return !x.ending() && !slices.Contains(q.Tried, x.replica.ID) })
+		best = t.best(q, func(x *target) bool { return !x.ending() && !slices.Contains(q.Tried, x.replica.Life()) })
 	}
 	if best == nil {
 		return nil
--- a/internal/core/fleet/silence.go
+++ b/internal/core/fleet/silence.go
@@ -30,11 +30,12 @@
 }
 
 // Watch tells which replicas fell silent, or were heard again, since the last
-// call, and returns the own requests at silent ones that may be moved. Call
-// Move on these.
+// call, and returns the own requests at silent ones, and at lives that have ended,
+// that may be moved. Call Move on these.
 func (t *Table) Watch(now time.Time) (changed []Silence, stuck []*Lease) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	stuck, t.stranded = t.stranded, nil
 	for _, list := range t.services {
 		last, answered := newest(list), answered(list)
 		for _, x := range list {
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -46,6 +46,8 @@
 	rates map[graniteknot.Service]*rate
 	// intakes are what is seen of own requests to engines, by service.
 	intakes map[graniteknot.Service]*intake
+	// stranded are own requests at lives that have ended, until the next look.
+	stranded []*Lease
 	// peers is how many gateways share the replicas; 0 counts as one.
 	peers int
 }
@@ -68,6 +70,13 @@
 		t.addresses = map[graniteknot.Address][]*target{}
 	}
 	old := t.targets[r.ID]
+	if old != nil && old.replica.Born != r.Born {
+		if r.Written < old.replica.Written {
+			return false
+		}
+		t.succeed(old)
+		old = nil
+	}
 	if old == nil {
 		added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
 		t.targets[r.ID] = added
@@ -99,6 +108,18 @@
 	return changed
 }
 
+// succeed takes out a life whose replica has begun another one under the same id. What is
+// known of it says nothing of the next, and what it has will not be answered: those requests
+// are moved with the next look at silent replicas. Called with the lock held.
+func (t *Table) succeed(old *target) {
+	for l := range old.own {
+		if l.move != nil {
+			t.stranded = append(t.stranded, l)
+		}
+	}
+	t.remove(old.replica.ID)
+}
+
 // move notes that a target has another address.
 func (t *Table) move(x *target, to graniteknot.Address) {
 	from := x.replica.Address
@@ -200,6 +221,19 @@
 	return out
 }
 
+// Unserved returns the ids of the replicas whose service is not among those served.
+func (t *Table) Unserved(served func(graniteknot.Service) bool) []catalog.ReplicaID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []catalog.ReplicaID
+	for id, x := range t.targets {
+		if !served(x.replica.Service) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Report takes the report of the replica at an address.
 func (t *Table) Report(a graniteknot.Address, l Load) {
 	t.mu.Lock()
--- a/internal/core/forward/endings.go
+++ b/internal/core/forward/endings.go
@@ -105,14 +105,14 @@
 func (f *Forwarder) ended(j *Job, key quarantine.Key, replica *catalog.Replica) {
 	f.Meter.Count("graniteknot_answers_lost_with_replica_total", meter.Label{Name: "service", Value: string(replica.Service)})
 	fields := []slog.Attr{
-		slog.String("request", string(j.ID)), slog.String("identity", key.String()), slog.String("replica", string(replica.ID)),
+		slog.String("request", string(j.ID)), slog.String("identity", key.String()), slog.String("replica", replica.Life().String()),
 		slog.String("address", string(replica.Address)), slog.String("path", j.Path),
 	}
 	if j.Account != nil {
 		fields = append(fields, slog.String("account", string(j.Account.Name)))
 	}
 	if q := f.Quarantine; q != nil {
-		taken := q.Ended(key, replica.ID.Mark(), time.Now())
+		taken := q.Ended(key, replica.Life().Mark(), time.Now())
 		fields = append(fields, slog.Bool("counted", taken), slog.Bool("kept_from_replicas", q.Blocks(key)))
 	}
 	f.Log.Warn("replica ended", fields...)
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -70,7 +70,7 @@
 	sink Sink
 	ctx  context.Context //nolint:containedctx // It is the request's own life.
 
-	tried []catalog.ReplicaID
+	tried []catalog.Life
 	// mayHaveRun tells that no replica's word covers some attempt.
 	mayHaveRun bool
 	// after is the last event that the caller has.
@@ -127,7 +127,7 @@
 		}
 		r.result.Attempts++
 		r.broke = false
-		r.result.Replica = string(lease.Replica.ID)
+		r.result.Replica = lease.Replica.Life().String()
 		next, verdict, why := r.attempt(lease)
 		lease.End(verdict, time.Now())
 		if r.broke {
@@ -137,7 +137,7 @@
 		if next == stepDone {
 			return
 		}
-		r.tried = append(r.tried, lease.Replica.ID)
+		r.tried = append(r.tried, lease.Replica.Life())
 		r.result.Reason = why
 	}
 }
@@ -254,7 +254,7 @@
 	in := l.Inputs
 	fields := []slog.Attr{
 		slog.String("request", string(r.job.ID)), slog.Int("attempt", r.result.Attempts),
-		slog.String("replica", string(l.Replica.ID)), slog.String("address", string(l.Replica.Address)),
+		slog.String("replica", l.Replica.Life().String()), slog.String("address", string(l.Replica.Address)),
 		slog.String("verdict", v.String()), eventlog.Milliseconds("since_arrival", time.Since(r.job.Arrived)),
 		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Float64("skew", in.Skew), slog.Bool("trial", in.Trial),
 		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
--- a/internal/core/sidecar/life.go
+++ b/internal/core/sidecar/life.go
@@ -9,12 +9,12 @@
 	"graniteknot.org/go/expertmap/held"
 )
 
-// Living is a target that tells which life of it answers. Ranks may implement it.
-type Living interface {
-	Life(ctx context.Context) (catalog.ReplicaID, error)
+// Named is a target that tells its id. Ranks may implement it.
+type Named interface {
+	ID(ctx context.Context) (catalog.ReplicaID, error)
 }
 
-// lifeRetry is the time between two questions to a target that did not tell its life.
+// lifeRetry is the time between two questions to a target that did not tell its id.
 const lifeRetry = 500 * time.Millisecond
 
 // lifeWatch knows which life of the own target answers. Asking is priced as a health
@@ -24,30 +24,31 @@
 	mark  catalog.Mark
 	asked time.Time
 	// last is the report before.
-	last held.State
+	last held.Report
 }
 
-// see returns the mark of the life that made a report; 0 is unknown. A life may be another
-// one when the group has broken or the pass has gone back: a rank that ends breaks its
-// group.
+// see returns the mark of the life that made a report; 0 is unknown. A life is another one
+// when it began at another time; where that is not told, it may be when the group has
+// broken or the pass has gone back: a rank that ends breaks its group.
 func (w *lifeWatch) see(ctx context.Context, s *Sidecar, report *held.Report, now time.Time) catalog.Mark {
-	state := report.State
-	if state.Step < w.last.Step || !state.Open && w.last.Open {
+	state, last := report.State, w.last.State
+	if report.Born != w.last.Born || state.Step < last.Step || !state.Open && last.Open {
 		w.forget()
 	}
-	w.last = state
-	living, tells := s.own.(Living)
+	w.last = *report
+	named, tells := s.own.(Named)
 	if !tells || w.mark != 0 || now.Sub(w.asked) < lifeRetry {
 		return w.mark
 	}
 	w.asked = now
-	id, err := living.Life(ctx)
+	id, err := named.ID(ctx)
 	if err != nil {
 		s.Log.Info("target life", slog.String("error", err.Error()))
 		return 0
 	}
-	w.mark = id.Mark()
-	s.Log.Info("target life", slog.String("replica", string(id)))
+	life := catalog.Life{ID: id, Born: report.Born}
+	w.mark = life.Mark()
+	s.Log.Info("target life", slog.String("replica", life.String()))
 	return w.mark
 }
 
--- a/names.go
+++ b/names.go
@@ -46,6 +46,11 @@
 	return Incarnation(t.UnixMicro())
 }
 
+// Born is when a replica's life began by its own clock, in milliseconds since the epoch; 0
+// where it does not say. It tells lives apart and orders nothing, since clocks of the day
+// jump.
+type Born int64
+
 // Tokens counts model tokens.
 type Tokens int64
 
