Records of other writers name no replica, and cost neither lines nor calls

The reading of a replica's record took for ready what said 'resting', what had no state, address, service or slots, {} and null; a record that could not be read left the one before it in force.

Members need a name, a role and addresses. Lines on malformed records and datagrams are written once a change and ten a minute, counted in a metric, and reads of the settings are 0.2 s apart at least, so that a writer of ten records a second raises neither.

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
-	"graniteknot.org/go/internal/core/eventlog"
-
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/watch"
 )
 
@@ -16,6 +17,9 @@
 	// settingsWait is how long one read of the settings waits for a change. Each
 	// read proves that the tree is the newest, so it bounds the tree's age.
 	settingsWait = 1500 * time.Millisecond
+	// settingsSpacing is the least time between two reads: a change is seen so much later
+	// at most, a tenth of the time in which it has to be in force.
+	settingsSpacing = 200 * time.Millisecond
 	// replicasShare is the time between two reads of the replicas' records, which
 	// change with every heartbeat, as a part of the time after which a leaving
 	// replica must get no more requests.
@@ -32,7 +36,7 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait,
+		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait, Spacing: settingsSpacing,
 		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause, Early: true,
 	}
 	f.Run(ctx)
@@ -44,7 +48,7 @@
 	for _, r := range records {
 		tree, err := g.Translator.Tree(r)
 		if err != nil {
-			g.Log.Warn("malformed configuration", slog.Int64("position", int64(r.At)), slog.String("error", err.Error()))
+			g.malformed("configuration", r, err)
 			continue
 		}
 		if tree != nil {
@@ -66,12 +70,20 @@
 	if changed {
 		g.shared.putSettings(record)
 		g.servers.limit(newest.Limits)
+		g.forgetUnconfigured(newest)
 		g.serviceGauges(newest)
 		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
 			eventlog.Milliseconds("read_took", time.Since(began)))
 	}
 }
 
+// forgetUnconfigured takes out the replicas of services that a configuration does not name.
+func (g *Gateway) forgetUnconfigured(tree *catalog.Tree) {
+	for _, id := range g.Fleet.Unserved(func(s graniteknot.Service) bool { return tree.Service(s) != nil }) {
+		g.gone(id)
+	}
+}
+
 func (g *Gateway) followReplicas(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
@@ -125,9 +137,11 @@
 			g.vanished(catalog.ReplicaID(r.Key))
 			continue
 		}
-		replica, err := g.Translator.Replica(r)
+		replica, err := g.replica(r)
 		if err != nil {
-			g.Log.Warn("malformed replica", slog.String("key", r.Key), slog.String("error", err.Error()))
+			// Whatever stood under the key before names no replica any more.
+			g.malformed("replica", r, err)
+			g.gone(catalog.ReplicaID(r.Key))
 			continue
 		}
 		g.shared.putReplica(r)
@@ -139,6 +153,27 @@
 	}
 }
 
+// replica reads a replica's record. One of a service that the configuration does not name
+// names no replica to use either; it could else stand for one at the same address.
+func (g *Gateway) replica(r graniteknot.KeyedRecord) (catalog.Replica, error) {
+	replica, err := g.Translator.Replica(r)
+	if err != nil {
+		return replica, err
+	}
+	tree, _ := g.Trees.Current(time.Now())
+	if tree != nil && tree.Service(replica.Service) == nil {
+		return replica, fmt.Errorf("service %.80q is not configured", replica.Service)
+	}
+	return replica, nil
+}
+
+// malformed counts and tells a record that can't be used. Whoever writes to the store can
+// write as many as he likes.
+func (g *Gateway) malformed(what string, r graniteknot.KeyedRecord, err error) {
+	g.Meter.Count("graniteknot_malformed_records_total", meter.Label{Name: "record", Value: what})
+	g.odd.Warn(g.Log, "malformed "+what, r.Key, err.Error(), slog.Int64("position", int64(r.At)))
+}
+
 // vanished acts on a record that is gone. While the store is away, and shortly
 // after, records lapse that live replicas will write again.
 func (g *Gateway) vanished(id catalog.ReplicaID) {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -84,6 +84,8 @@
 	// bounds are the settings that a reload changes; the rest of Config is fixed
 	// for the life of the process.
 	bounds atomic.Pointer[directconf.Config]
+	// odd tells of records that can't be used.
+	odd eventlog.Sparse
 	// stale tells that the last look found the configuration too old.
 	stale atomic.Bool
 }
--- a/internal/core/gateway/listen.go
+++ b/internal/core/gateway/listen.go
@@ -66,13 +66,19 @@
 	if g.ready() {
 		out = append(out, g.Config.Requests)
 	}
-	for _, m := range g.Members.Alive(presence.RoleGateway, g.Config.Box, now) {
-		out = append(out, m.Requests)
-	}
+	out = appendRequests(out, g.Members.Alive(presence.RoleGateway, g.Config.Box, now))
 	if len(out) == 0 {
-		for _, m := range g.Members.Members(presence.RoleGateway, g.Config.Box) {
+		out = appendRequests(out, g.Members.Members(presence.RoleGateway, g.Config.Box))
+	}
+	return out[:min(len(out), mostAddresses)]
+}
+
+// appendRequests appends where gateways take requests, of those that say so.
+func appendRequests(out []graniteknot.Address, members []presence.Member) []graniteknot.Address {
+	for _, m := range members {
+		if m.Requests != "" {
 			out = append(out, m.Requests)
 		}
 	}
-	return out[:min(len(out), mostAddresses)]
+	return out
 }
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -25,6 +25,8 @@
 	mostTold = 20
 	// quarantineWait is how long one read of the records waits for a change.
 	quarantineWait = 20 * time.Second
+	// quarantineSpacing is the least time between two reads.
+	quarantineSpacing = 300 * time.Millisecond
 	// quarantinePause is the time between two looks whether other gateways still read
 	// the records, where they do so for all.
 	quarantinePause = time.Second
@@ -167,7 +169,7 @@
 func (g *Gateway) followQuarantine(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Wait: quarantineWait,
+		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Wait: quarantineWait, Spacing: quarantineSpacing,
 		Newest: g.takeQuarantine, Next: g.takeQuarantine, Early: true, RevalidatePause: quarantinePause,
 		Revalidate: func(context.Context) bool { return !g.readsQuarantine(time.Now()) },
 	}
@@ -182,7 +184,7 @@
 	for _, r := range records {
 		e, err := quarantine.EntryOf(r)
 		if err != nil {
-			g.Log.Warn("malformed quarantine", slog.String("key", r.Key), slog.String("error", err.Error()))
+			g.malformed("quarantine", r, err)
 			continue
 		}
 		g.ward.store(&e)
--- a/internal/core/presence/census.go
+++ b/internal/core/presence/census.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -95,10 +94,11 @@
 		return false
 	}
 	for _, r := range records {
-		var m Member
-		if json.Unmarshal(r.Value, &m) == nil && m.Box != c.Self.Box {
-			c.View.PutAt(m, r.At, time.Now())
+		m, err := memberOf(r)
+		if err != nil || m.Box == c.Self.Box {
+			continue
 		}
+		c.View.PutAt(m, r.At, time.Now())
 	}
 	return true
 }
--- a/internal/core/presence/member.go
+++ b/internal/core/presence/member.go
@@ -1,6 +1,9 @@
 package presence
 
 import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -32,6 +35,34 @@
 	Link float64 `json:"link,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
+// memberOf reads a member's record. Whatever is not as members write it is another
+// writer's, and an error.
+func memberOf(r graniteknot.KeyedRecord) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(r.Value, &m); err != nil {
+		return m, err
+	}
+	return m, m.check(graniteknot.BoxName(r.Key))
+}
+
+// check tells what a member lacks to be told anything, or to be told of.
+func (m *Member) check(box graniteknot.BoxName) error {
+	if m.Box == "" || m.Box != box {
+		return fmt.Errorf("box %.80q is not %.80q", m.Box, box)
+	}
+	if m.Role != RoleGateway && m.Role != RoleSidecar {
+		return fmt.Errorf("role %.80q", m.Role)
+	}
+	if _, err := netip.ParseAddrPort(string(m.Peers)); err != nil {
+		return err
+	}
+	if m.Requests == "" {
+		return nil
+	}
+	_, err := netip.ParseAddrPort(string(m.Requests))
+	return err
+}
+
 // unrecorded is the position of a record that is not known.
 const unrecorded graniteknot.Position = -1
 
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -49,6 +49,8 @@
 	known atomic.Bool
 	// read tells that the records were read.
 	read atomic.Bool
+	// odd tells of records that can't be used.
+	odd eventlog.Sparse
 }
 
 // Register writes the process into the store; it tries until it has an answer. A
@@ -115,9 +117,9 @@
 			r.View.Remove(graniteknot.BoxName(record.Key))
 			continue
 		}
-		var m Member
-		if err := json.Unmarshal(record.Value, &m); err != nil {
-			r.Log.Warn("malformed member", slog.String("key", record.Key), slog.String("error", err.Error()))
+		m, err := memberOf(record)
+		if err != nil {
+			r.odd.Warn(r.Log, "malformed member", record.Key, err.Error())
 			continue
 		}
 		if m.Box == r.Self.Box {
--- a/internal/core/presence/socket.go
+++ b/internal/core/presence/socket.go
@@ -29,6 +29,9 @@
 	asked  asked
 	answer atomic.Pointer[func(context.Context, Kind, []byte) ([]byte, error)]
 
+	// odd tells of datagrams that can't be read.
+	odd eventlog.Sparse
+
 	mu sync.Mutex
 	// parsed keeps addresses that were parsed.
 	parsed map[graniteknot.Address]netip.AddrPort
@@ -56,7 +59,7 @@
 		s.received.Add(uint64(n))
 		m, err := decode(buffer[:n])
 		if err != nil {
-			log.Warn("malformed datagram from " + from.String())
+			s.odd.Warn(log, "malformed datagram", from.Addr().String(), err.Error())
 			continue
 		}
 		switch {
--- a/internal/core/presence/view_test.go
+++ b/internal/core/presence/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +15,8 @@
 )
 
 func member(box graniteknot.BoxName, born graniteknot.Incarnation) presence.Member {
-	return presence.Member{Box: box, Role: presence.RoleGateway, Peers: graniteknot.Address(box), Requests: graniteknot.Address(box), Born: born}
+	address := graniteknot.Address(fmt.Sprint("127.0.0.1:", int(box[0])))
+	return presence.Member{Box: box, Role: presence.RoleGateway, Peers: address, Requests: address, Born: born}
 }
 
 func names(list []presence.Member) string {
@@ -123,7 +125,7 @@
 			t.Errorf("%d records after a start at the same address", got)
 		}
 		moved := member("a", 3)
-		moved.Peers = "elsewhere"
+		moved.Peers = "127.0.0.1:9"
 		live(moved)
 		if got := records(); got != 2 {
 			t.Errorf("%d records after a start at another address", got)
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -27,6 +27,9 @@
 	Health *Health
 	// Wait is how long a read waits for a record.
 	Wait time.Duration
+	// Spacing is the least time between the begins of two reads, so that a writer of
+	// records that nobody can use does not have the store read with each of them.
+	Spacing time.Duration
 	// Pause is the time between two reads.
 	Pause time.Duration
 	// Newest takes the newest record of each key, Next records that follow, of
@@ -70,12 +73,13 @@
 			// The records since the last read may be many, the newest ones are few.
 			f.revalidated, f.synced = false, false
 		}
+		began := time.Now()
 		pause := f.pause(f.Pause)
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			pause = f.failed(err)
 			f.elsewhere(ctx)
 		}
-		delay.For(ctx, pause)
+		delay.For(ctx, max(pause, f.Spacing-time.Since(began)))
 	}
 }
 
@@ -118,8 +122,8 @@
 		return f.note(ctx, began, err)
 	}
 	f.good()
-	if n := len(page.Records); n > 0 {
-		f.from = page.Records[n-1].At + 1
+	if page.Through > f.from {
+		f.from = page.Through
 	} else if page.End < f.from {
 		// The topic was begun anew.
 		f.synced = false
--- a/internal/standin/keyed/store.go
+++ b/internal/standin/keyed/store.go
@@ -176,12 +176,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.topic(t)
-	page := graniteknot.KeyedPage{End: x.end()}
+	page := graniteknot.KeyedPage{End: x.end(), Through: from}
 	if from < x.start {
 		return page, nil, fmt.Errorf("read from %d: %w", from, graniteknot.ErrTrimmed)
 	}
 	if from < x.end() {
 		page.Records = append(page.Records, x.records[from-x.start:]...)
+		page.Through = x.end()
 	}
 	return page, x.added, nil
 }
--- a/keyed.go
+++ b/keyed.go
@@ -42,6 +42,9 @@
 	Records []KeyedRecord
 	// End is the position that the next append will get.
 	End Position
+	// Through is where to read on: behind the last record that was read, whether it could
+	// be used or not. It is not set for the newest of each key.
+	Through Position
 }
 
 // KeyedStore is the platform's store of keyed records.
