Ages, leases and deadlines count the time for which a box was suspended

Timers wait by the steady clock, so what they guard is looked at again after each wait: forward.maySend before and after the wait for a place and once the connection is there; requests whose time was over are cancelled with the next look.

Found with it: a key was proved before the wait for a place and not after it, so one could be served up to three aims after its proof was too old.

TestStaleConfiguration counted looks at the configuration's age; it now lets it become stale once the first replica has run the request, which is as strict.

--- a/internal/core/conns/pool.go
+++ b/internal/core/conns/pool.go
@@ -35,6 +35,9 @@
 
 // Pool keeps the connections to all replicas. The zero value works.
 type Pool struct {
+	// Clock is what the rest of connections is decided by; it is set before use.
+	Clock graniteknot.AgeClock
+
 	mu    sync.Mutex
 	hosts map[graniteknot.Address]*host
 	// opened counts the connections opened.
@@ -60,7 +63,7 @@
 		if open {
 			return p.dial(ctx, a)
 		}
-		if c.usable(time.Now()) {
+		if c.usable(p.Clock.Now()) {
 			return c, nil
 		}
 		p.drop(a, c)
@@ -135,7 +138,7 @@
 		p.drop(a, c)
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince = p.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[a]
@@ -172,7 +175,7 @@
 
 // Sweep closes idle connections that are not usable any more.
 func (p *Pool) Sweep() {
-	now := time.Now()
+	now := p.Clock.Now()
 	for a, c := range p.stale(now) {
 		p.drop(a, c)
 	}
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -52,7 +52,7 @@
 	if one == nil {
 		return lease
 	}
-	timer := time.NewTimer(time.Until(w.Last))
+	timer := time.NewTimer(t.Clock.Until(w.Last))
 	defer timer.Stop()
 	select {
 	case lease := <-one.ready:
@@ -86,7 +86,7 @@
 		t.queues = map[graniteknot.Service][]*waiter{}
 	}
 	t.queues[q.Service.Name] = append(t.queues[q.Service.Name], one)
-	t.serve(q.Service.Name, time.Now())
+	t.serve(q.Service.Name, t.Clock.Now())
 	return nil, one
 }
 
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -30,6 +30,9 @@
 
 // Table knows the replicas. The zero value is empty.
 type Table struct {
+	// Clock is what ages are decided by; it is set before use.
+	Clock graniteknot.AgeClock
+
 	mu      sync.Mutex
 	targets map[catalog.ReplicaID]*target
 	// lives are what sidecars told of who is at an address.
--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -28,6 +28,11 @@
 	if err != nil {
 		return r.unsent(err)
 	}
+	if why, ok := r.maySend(); !ok {
+		f.Pool.Put(l.Replica.Address, conn)
+		r.giveUp(why)
+		return stepDone, fleet.VerdictNone, why
+	}
 	stop := context.AfterFunc(r.ctx, conn.Abort)
 	r.move = &mover{conn: conn}
 	if r.movable() {
@@ -61,7 +66,7 @@
 func (r *run) outgoing(l *fleet.Lease) *Attempt {
 	left := endless
 	if !r.job.End.IsZero() {
-		left = max(time.Until(r.job.End), time.Millisecond)
+		left = max(r.f.Clock.Until(r.job.End), time.Millisecond)
 	}
 	return &Attempt{Job: r.job, Replica: &l.Replica, Left: left, After: r.after}
 }
@@ -110,7 +115,7 @@
 		return stepAgain, r.refusal(&marks), ReasonRefused, err == nil
 	}
 	r.mayHaveRun = true
-	l.Heard(time.Now())
+	l.Heard(r.f.Clock.Now())
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBody+1))
 	if err != nil || len(body) > maxBody {
 		next, v, why = r.failed(&conns.Error{Op: "read answer", Kind: conns.KindLost, Err: err})
--- a/internal/core/forward/endings.go
+++ b/internal/core/forward/endings.go
@@ -112,7 +112,7 @@
 		fields = append(fields, slog.String("account", string(j.Account.Name)))
 	}
 	if q := f.Quarantine; q != nil {
-		taken := q.Ended(key, replica.Life().Mark(), time.Now())
+		taken := q.Ended(key, replica.Life().Mark(), f.Clock.Now())
 		fields = append(fields, slog.Bool("counted", taken), slog.Bool("kept_from_replicas", q.Blocks(key)))
 	}
 	f.Log.Warn("replica ended", fields...)
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -135,8 +135,7 @@
 // TestStaleConfiguration refuses at the first try and at a later one.
 func TestStaleConfiguration(t *testing.T) {
 	r := newRig(t, catalog.KindRepeatable, platformtest.Lose, platformtest.Answer("second"))
-	looks := 0
-	r.forward.Fresh = func() bool { looks++; return looks < 2 }
+	r.forward.Fresh = func() bool { return r.ran() == 0 }
 	result := r.do(context.Background())
 	if result.Reason != forward.ReasonStale || result.Outcome != graniteknot.OutcomeUnknown || r.ran() != 1 {
 		t.Errorf("%+v, ran %d times", result, r.ran())
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -24,6 +24,8 @@
 	Log     *eventlog.Log
 	Meter   *meter.Meter
 	Zone    graniteknot.AvailabilityZone
+	// Clock is what ages and deadlines are decided by.
+	Clock graniteknot.AgeClock
 	// Fresh tells whether the configuration is new enough to trust a key.
 	Fresh func() bool
 	// Returns knows which callers come back.
@@ -34,6 +36,8 @@
 	Quarantine *quarantine.Table
 
 	endings endings
+	// ends are when the requests under way have to be answered.
+	ends ends
 }
 
 const (
@@ -53,8 +57,7 @@
 	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	if !j.End.IsZero() {
-		timer := time.AfterFunc(time.Until(j.End), func() { cancel(errTimeout) })
-		defer timer.Stop()
+		defer f.ends.begin(j.End, f.Clock.Until(j.End), func() { cancel(errTimeout) })()
 	}
 	r := &run{f: f, job: j, sink: sink, ctx: ctx, after: j.After}
 	r.result.Since = f.Returns.Since(j.Route, j.Request)
@@ -120,16 +123,16 @@
 			r.giveUp(r.noLease())
 			return
 		}
-		if r.quarantined() {
-			lease.End(fleet.VerdictNone, time.Now())
-			r.giveUp(ReasonQuarantined)
+		if why, ok := r.maySend(); !ok {
+			lease.End(fleet.VerdictNone, f.Clock.Now())
+			r.giveUp(why)
 			return
 		}
 		r.result.Attempts++
 		r.broke = false
 		r.result.Replica = lease.Replica.Life().String()
 		next, verdict, why := r.attempt(lease)
-		lease.End(verdict, time.Now())
+		lease.End(verdict, f.Clock.Now())
 		if r.broke {
 			r.lost(lease)
 		}
@@ -143,7 +146,7 @@
 }
 
 func (r *run) query() *fleet.Query {
-	now := time.Now()
+	now := r.f.Clock.Now()
 	return &fleet.Query{
 		Service: r.job.Service, Size: r.job.Size, Urgency: r.job.Urgency(), Gap: r.job.Route.GapAim,
 		Tried: r.tried, Zone: r.f.Zone, Now: now, Asked: now,
@@ -172,23 +175,33 @@
 	if r.quarantined() {
 		return ReasonQuarantined
 	}
-	if all, _ := r.f.Fleet.Count(r.job.Service.Name, time.Now()); all == 0 {
+	if all, _ := r.f.Fleet.Count(r.job.Service.Name, r.f.Clock.Now()); all == 0 {
 		return ReasonNoReplica
 	}
 	return ReasonBusy
 }
 
-// mayTry tells whether another attempt may be made, and if not, why.
-func (r *run) mayTry() (Reason, bool) {
-	if r.ctx.Err() != nil {
+// maySend tells whether the request may be sent to a replica now, and if not, why. It is
+// asked after each wait, since all of it may have changed meanwhile.
+func (r *run) maySend() (Reason, bool) {
+	switch {
+	case r.ctx.Err() != nil:
 		return r.stopReason(), false
-	}
-	if r.job.Account != nil && !r.f.Fresh() {
+	case r.over():
+		return ReasonTimeout, false
+	case r.job.Account != nil && !r.f.Fresh():
 		return ReasonStale, false
-	}
-	if r.quarantined() {
+	case r.quarantined():
 		return ReasonQuarantined, false
 	}
+	return ReasonNone, true
+}
+
+// mayTry tells whether another attempt may be made, and if not, why.
+func (r *run) mayTry() (Reason, bool) {
+	if why, ok := r.maySend(); !ok {
+		return why, false
+	}
 	if r.result.Attempts == 0 {
 		return ReasonNone, true
 	}
@@ -204,6 +217,9 @@
 	return ReasonNone, true
 }
 
+// over tells whether the request's time is over, also where the timer for that stood still.
+func (r *run) over() bool { return !r.job.End.IsZero() && !r.f.Clock.Exact().Before(r.job.End) }
+
 // stopReason says why the request's context ended.
 func (r *run) stopReason() Reason {
 	if errors.Is(context.Cause(r.ctx), errTimeout) {
@@ -241,7 +257,7 @@
 // first notes the first byte of the answer.
 func (r *run) first() {
 	if r.result.First == 0 {
-		r.result.First = time.Since(r.job.Arrived)
+		r.result.First = r.f.Clock.Since(r.job.Arrived)
 	}
 }
 
@@ -255,7 +271,7 @@
 	fields := []slog.Attr{
 		slog.String("request", string(r.job.ID)), slog.Int("attempt", r.result.Attempts),
 		slog.String("replica", l.Replica.Life().String()), slog.String("address", string(l.Replica.Address)),
-		slog.String("verdict", v.String()), eventlog.Milliseconds("since_arrival", time.Since(r.job.Arrived)),
+		slog.String("verdict", v.String()), eventlog.Milliseconds("since_arrival", r.f.Clock.Since(r.job.Arrived)),
 		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Float64("skew", in.Skew), slog.Bool("trial", in.Trial),
 		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
 	}
--- a/internal/core/forward/quarantined.go
+++ b/internal/core/forward/quarantined.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"time"
-
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/quarantine"
@@ -48,6 +46,6 @@
 func (r *run) answered() {
 	q := r.f.Quarantine
 	if r.result.Outcome == graniteknot.OutcomeAnswered && q != nil && !q.Empty() {
-		q.Answered(r.key(), time.Now())
+		q.Answered(r.key(), r.f.Clock.Now())
 	}
 }
--- a/internal/core/forward/stream.go
+++ b/internal/core/forward/stream.go
@@ -25,7 +25,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if whole := events.add(buffer[:n]); len(whole) > 0 {
-			l.Heard(time.Now())
+			l.Heard(r.f.Clock.Now())
 			if gone := r.pass(answer, whole, events.last); gone {
 				return stepDone, fleet.VerdictNone, ReasonCallerGone, false
 			}
@@ -55,7 +55,7 @@
 	if !r.result.Begun && !r.begin(answer) {
 		return true
 	}
-	now := time.Now()
+	now := r.f.Clock.Now()
 	if !r.lastPart.IsZero() {
 		r.paused(now)
 	}
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -36,7 +36,7 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Wait: settingsWait, Spacing: settingsSpacing,
+		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, Wait: settingsWait, Spacing: settingsSpacing,
 		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause, Early: true,
 	}
 	f.Run(ctx)
@@ -73,7 +73,7 @@
 		g.forgetUnconfigured(newest)
 		g.serviceGauges(newest)
 		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
-			eventlog.Milliseconds("read_took", time.Since(began)))
+			eventlog.Milliseconds("read_took", g.Clock.Since(began)))
 	}
 }
 
@@ -87,9 +87,9 @@
 func (g *Gateway) followReplicas(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
+		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Clock: g.Clock, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
 		Newest: g.resetReplicas, Next: g.takeReplicas, Revalidate: g.revalidateReplicas, Elsewhere: g.replicasElsewhere, RevalidatePause: revalidatePause, Early: true,
-		Urgent: func() bool { return g.Fleet.Doubted(time.Now()) },
+		Urgent: func() bool { return g.Fleet.Doubted(g.Clock.Now()) },
 	}
 	f.Run(ctx)
 }
@@ -114,7 +114,7 @@
 // gateway's own way to the store is disturbed does not matter, so that one that the store
 // turns away sends nothing to a replica that has left.
 func (g *Gateway) handReplicas(records []graniteknot.KeyedRecord, at time.Time) {
-	now := time.Now()
+	now := g.Clock.Now()
 	if age, read := g.validity.age(now); !read || at.After(now.Add(-age)) {
 		there := map[catalog.ReplicaID]bool{}
 		for _, r := range records {
@@ -130,7 +130,7 @@
 }
 
 func (g *Gateway) takeReplicas(records []graniteknot.KeyedRecord, began time.Time) {
-	now := time.Now()
+	now := g.Clock.Now()
 	defer g.validity.prove(began)
 	for _, r := range records {
 		if len(r.Value) == 0 {
@@ -160,7 +160,7 @@
 	if err != nil {
 		return replica, err
 	}
-	tree, _ := g.Trees.Current(time.Now())
+	tree, _ := g.Trees.Current(g.Clock.Now())
 	if tree != nil && tree.Service(replica.Service) == nil {
 		return replica, fmt.Errorf("service %.80q is not configured", replica.Service)
 	}
@@ -177,8 +177,8 @@
 // vanished acts on a record that is gone. While the store is away, and shortly
 // after, records lapse that live replicas will write again.
 func (g *Gateway) vanished(id catalog.ReplicaID) {
-	if g.Health.Doubtful(time.Now(), doubtTime) {
-		if g.Fleet.Lapse(id, time.Now()) {
+	if g.Health.Doubtful(g.Clock.Now(), doubtTime) {
+		if g.Fleet.Lapse(id, g.Clock.Now()) {
 			g.Log.Info("replica lapsed", slog.String("replica", string(id)))
 		}
 		return
@@ -198,12 +198,12 @@
 // configuration becomes too old to trust keys, or new enough again.
 func (g *Gateway) look() {
 	if back, up := g.Health.Back(); up {
-		for _, id := range g.Fleet.Expire(back, time.Now()) {
+		for _, id := range g.Fleet.Expire(back, g.Clock.Now()) {
 			g.shared.dropReplica(string(id))
 			g.Log.Info("replica gone", slog.String("replica", string(id)), slog.Bool("lapsed", true))
 		}
 	}
-	tree, age := g.Trees.Current(time.Now())
+	tree, age := g.Trees.Current(g.Clock.Now())
 	if tree == nil {
 		return
 	}
@@ -215,7 +215,8 @@
 
 // watchSilence moves requests away from replicas that are cut off.
 func (g *Gateway) watchSilence() {
-	changed, stuck := g.Fleet.Watch(time.Now())
+	g.Forward.Expire()
+	changed, stuck := g.Fleet.Watch(g.Clock.Now())
 	for _, c := range changed {
 		g.Log.Warn("replica silent", slog.String("replica", string(c.Replica)), slog.Bool("silent", c.Silent),
 			eventlog.Milliseconds("unheard", c.Unheard), slog.Int("stuck", len(stuck)))
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Lines *eventlog.Writer
 	Meter *meter.Meter
 	Born  graniteknot.Incarnation
+	// Clock is what ages, leases and deadlines are decided by.
+	Clock graniteknot.AgeClock
 }
 
 // Gateway is the process. Make it with New.
@@ -96,9 +98,10 @@
 	g := &Gateway{Parts: p, met: make(chan struct{})}
 	g.bounds.Store(p.Config)
 	g.Health.Log = p.Log
+	g.Fleet.Clock, g.Pool.Clock = p.Clock, p.Clock
 	g.Forward = forward.Forwarder{
 		Dialect: p.Translator, Pool: &g.Pool, Fleet: &g.Fleet, Log: p.Log, Meter: p.Meter, Zone: p.Config.Zone,
-		Fresh: g.fresh, ConnLimit: g.connLimit, Quarantine: &g.Quarantine,
+		Clock: p.Clock, Fresh: g.fresh, ConnLimit: g.connLimit, Quarantine: &g.Quarantine,
 		Budgets: &forward.Budgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
 	g.Quarantine.Changed = g.quarantineChanged
@@ -113,8 +116,8 @@
 		return err
 	}
 	g.socket = socket
-	g.started = time.Now()
-	g.census = presence.Census{Socket: socket, View: &g.Members, Self: g.self(), From: g.readersPeers}
+	g.started = g.Clock.Now()
+	g.census = presence.Census{Socket: socket, View: &g.Members, Self: g.self(), From: g.readersPeers, Clock: g.Clock}
 	socket.Respond(g.answerPeer)
 	if err := g.listen(ctx); err != nil {
 		return err
@@ -132,7 +135,7 @@
 	g.group.Go(g.followReplicas)
 	g.group.Go(g.followQuarantine)
 	registrar := &presence.Registrar{
-		Store: g.Store, Self: g.self(), View: &g.Members, Health: &g.Health, Log: g.Log,
+		Store: g.Store, Self: g.self(), View: &g.Members, Health: &g.Health, Log: g.Log, Clock: g.Clock,
 		Joined: g.greet, Elsewhere: g.askCensus, Met: func() { close(g.met) },
 	}
 	g.group.Go(registrar.Register)
@@ -163,7 +166,7 @@
 	if g.leaving.Load() {
 		return false
 	}
-	tree, age := g.Trees.Current(time.Now())
+	tree, age := g.Trees.Current(g.Clock.Now())
 	return tree != nil && (!tree.Tenanted || g.trusts(tree, age))
 }
 
@@ -171,7 +174,7 @@
 
 // fresh tells whether a key may be trusted now.
 func (g *Gateway) fresh() bool {
-	tree, age := g.Trees.Current(time.Now())
+	tree, age := g.Trees.Current(g.Clock.Exact())
 	return tree != nil && g.trusts(tree, age)
 }
 
--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -13,7 +13,7 @@
 // hello tells the other gateways that this one lives: a relay tells all processes now
 // and then, so that they know where to tell what it passes on.
 func (g *Gateway) hello() {
-	now := time.Now()
+	now := g.Clock.Now()
 	relaying := g.Members.Relaying(g.self(), !g.leaving.Load(), now)
 	if g.relaying.Swap(relaying) != relaying {
 		g.Log.Info("relay", slog.Bool("relaying", relaying))
@@ -49,14 +49,14 @@
 
 // askCensus learns from others who is known; the readers read the store.
 func (g *Gateway) askCensus(ctx context.Context) bool {
-	return len(g.readers(time.Now())) > 0 && g.census.Ask(ctx)
+	return len(g.readers(g.Clock.Now())) > 0 && g.census.Ask(ctx)
 }
 
 // greeting is what this gateway tells of itself.
 func (g *Gateway) greeting() presence.Message {
 	self := g.self()
 	hello := presence.Message{Ready: g.ready(), Self: &self, Relay: g.relaying.Load(), Quarantine: g.Quarantine.Digest()}
-	if tree, _ := g.Trees.Current(time.Now()); tree != nil {
+	if tree, _ := g.Trees.Current(g.Clock.Now()); tree != nil {
 		hello.Settings = uint64(tree.Version)
 	}
 	return hello
@@ -75,7 +75,7 @@
 
 // relay passes on what was heard of late, if this gateway is a relay.
 func (g *Gateway) relay() {
-	bundles := g.bundler.Bundles(time.Now())
+	bundles := g.bundler.Bundles(g.Clock.Now())
 	if !g.relaying.Load() {
 		return
 	}
@@ -87,7 +87,7 @@
 
 // heard takes a datagram.
 func (g *Gateway) heard(m *presence.Message) {
-	now := time.Now()
+	now := g.Clock.Now()
 	if m.Bundle != nil {
 		g.told(m, now)
 		return
--- a/internal/core/gateway/listen.go
+++ b/internal/core/gateway/listen.go
@@ -48,7 +48,7 @@
 
 func (g *Gateway) answerAddresses(w http.ResponseWriter, r *http.Request) {
 	g.Translator.AskedFor(r)
-	list := g.addresses(time.Now())
+	list := g.addresses(g.Clock.Now())
 	if len(list) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/core/gateway/metrics.go
+++ b/internal/core/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
@@ -20,18 +19,18 @@
 // gauges has the gateway's state read whenever its figures are told.
 func (g *Gateway) gauges() {
 	g.Meter.Gauge("graniteknot_configuration_age_seconds", func() float64 {
-		_, age := g.Trees.Current(time.Now())
+		_, age := g.Trees.Current(g.Clock.Now())
 		return age.Seconds()
 	})
 	g.Meter.Gauge("graniteknot_configuration_version", func() float64 {
-		tree, _ := g.Trees.Current(time.Now())
+		tree, _ := g.Trees.Current(g.Clock.Now())
 		if tree == nil {
 			return 0
 		}
 		return float64(tree.Version)
 	})
 	g.Meter.Gauge("graniteknot_gateways_alive", func() float64 {
-		return float64(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, time.Now())) + 1)
+		return float64(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, g.Clock.Now())) + 1)
 	})
 	g.Meter.Gauge("graniteknot_replicas_known", func() float64 { return float64(len(g.Fleet.IDs())) })
 	g.Meter.Gauge("graniteknot_replica_connections_opened", func() float64 { return float64(g.Pool.Opened()) })
@@ -53,7 +52,7 @@
 		label := meter.Label{Name: "service", Value: string(s.Name)}
 		g.Meter.Gauge("graniteknot_requests_queued", func() float64 { return float64(g.Fleet.Queued(s)) }, label)
 		g.Meter.Gauge("graniteknot_replicas_usable", func() float64 {
-			_, usable := g.Fleet.Count(s.Name, time.Now())
+			_, usable := g.Fleet.Count(s.Name, g.Clock.Now())
 			return float64(usable)
 		}, label)
 	}
@@ -66,7 +65,7 @@
 	service := meter.Label{Name: "service", Value: string(x.job.Service.Name)}
 	m.Count("graniteknot_requests_total", service, kind,
 		meter.Label{Name: "outcome", Value: r.Outcome.String()}, meter.Label{Name: "reason", Value: string(r.Reason)})
-	m.Observe("graniteknot_request_seconds", time.Since(x.request.Arrived), service, kind)
+	m.Observe("graniteknot_request_seconds", x.gateway.Clock.Since(x.request.Arrived), service, kind)
 	if r.Outcome == graniteknot.OutcomeAnswered {
 		m.Observe("graniteknot_first_byte_seconds", r.First, service, kind)
 	}
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -52,8 +52,8 @@
 // quarantineChanged tells what an own request showed.
 func (g *Gateway) quarantineChanged(e quarantine.Entry) {
 	g.logQuarantined(&e)
-	g.ward.expect(&e, time.Now())
-	g.tellQuarantine([]quarantine.Entry{e}, g.Members.Audience(g.Config.Box, time.Now()))
+	g.ward.expect(&e, g.Clock.Now())
+	g.tellQuarantine([]quarantine.Entry{e}, g.Members.Audience(g.Config.Box, g.Clock.Now()))
 	if g.relaying.Load() {
 		g.tellQuarantine([]quarantine.Entry{e}, g.Members.InZone(g.self()))
 	}
@@ -121,7 +121,7 @@
 			g.ward.forget(box)
 			return
 		}
-		now := time.Now()
+		now := g.Clock.Now()
 		for _, r := range records {
 			entries, err := quarantine.Decode(r.Value)
 			if err != nil {
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	packed, err := g.packQuarantine(time.Now())
+	packed, err := g.packQuarantine(g.Clock.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -169,9 +169,9 @@
 func (g *Gateway) followQuarantine(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Wait: quarantineWait, Spacing: quarantineSpacing,
+		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Clock: g.Clock, Wait: quarantineWait, Spacing: quarantineSpacing,
 		Newest: g.takeQuarantine, Next: g.takeQuarantine, Early: true, RevalidatePause: quarantinePause,
-		Revalidate: func(context.Context) bool { return !g.readsQuarantine(time.Now()) },
+		Revalidate: func(context.Context) bool { return !g.readsQuarantine(g.Clock.Now()) },
 	}
 	f.Run(ctx)
 }
@@ -180,7 +180,7 @@
 func (g *Gateway) readsQuarantine(now time.Time) bool { return !g.many(now) || g.standsBy(now) }
 
 func (g *Gateway) takeQuarantine(records []graniteknot.KeyedRecord, _ time.Time) {
-	now := time.Now()
+	now := g.Clock.Now()
 	for _, r := range records {
 		e, err := quarantine.EntryOf(r)
 		if err != nil {
@@ -197,7 +197,7 @@
 // keepQuarantine writes the records that the store lacks, and has entries go that have
 // stood for long enough.
 func (g *Gateway) keepQuarantine() {
-	now := time.Now()
+	now := g.Clock.Now()
 	for _, k := range g.Quarantine.Expire(now) {
 		g.ward.expect(&quarantine.Entry{Key: k, Released: true}, now)
 	}
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -130,7 +130,7 @@
 
 // trust is how old an answer on a topic may be to this gateway.
 func (g *Gateway) trust(kind presence.Kind) time.Duration {
-	now := time.Now()
+	now := g.Clock.Now()
 	reads := g.many(now) && g.standsBy(now)
 	switch {
 	case kind == askSettings && reads:
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -61,15 +61,15 @@
 // revalidateSettings tells whether a reader proves that the tree is the newest, or
 // hands on a newer one.
 func (g *Gateway) revalidateSettings(ctx context.Context) bool {
-	readers := g.provers(askSettings, time.Now())
+	readers := g.provers(askSettings, g.Clock.Now())
 	if len(readers) == 0 {
 		return false
 	}
 	p, ok := g.askRead(ctx, readers, askSettings, g.trust(askSettings))
 	if !ok {
-		return !g.mayCall(askSettings, p.answered, time.Now())
+		return !g.mayCall(askSettings, p.answered, g.Clock.Now())
 	}
-	now := time.Now()
+	now := g.Clock.Now()
 	tree, age := g.Trees.Current(now)
 	switch {
 	case tree != nil && p.state == uint64(tree.Version):
@@ -90,16 +90,16 @@
 // revalidateReplicas tells whether a reader proves that the replicas are known, or
 // hands on others.
 func (g *Gateway) revalidateReplicas(ctx context.Context) bool {
-	readers := g.provers(askReplicas, time.Now())
+	readers := g.provers(askReplicas, g.Clock.Now())
 	if len(readers) == 0 {
 		return false
 	}
 	trust := g.trust(askReplicas)
 	p, ok := g.askRead(ctx, readers, askReplicas, trust)
 	if !ok {
-		return !g.mayCall(askReplicas, p.answered, time.Now())
+		return !g.mayCall(askReplicas, p.answered, g.Clock.Now())
 	}
-	now := time.Now()
+	now := g.Clock.Now()
 	age, read := g.validity.age(now)
 	switch {
 	case read && p.state == uint64(g.Fleet.Digest()):
@@ -137,7 +137,7 @@
 		if !p.unread {
 			return p, ok
 		}
-		if time.Since(g.started) > unreadPatience || ctx.Err() != nil {
+		if g.Clock.Since(g.started) > unreadPatience || ctx.Err() != nil {
 			return proof{}, false
 		}
 		delay.For(ctx, unreadPause)
@@ -151,14 +151,14 @@
 	first := g.validity.first()
 	for i := range min(revalidateTries, len(readers)) {
 		reader := readers[(first+i)%len(readers)]
-		asked := time.Now()
+		asked := g.Clock.Now()
 		state, age, err := g.askPeer(ctx, reader.Peers, kind)
 		if errors.Is(err, errUnread) {
 			return proof{reader: reader, unread: true}, true
 		}
 		answered = answered || err == nil
 		at := asked.Add(-age)
-		if err == nil && time.Since(at) < trust {
+		if err == nil && g.Clock.Since(at) < trust {
 			g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "proved"})
 			g.validity.prefer(first + i)
 			g.validity.doubt(kind, false, asked)
@@ -167,7 +167,7 @@
 		g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "doubted"})
 		if err == nil || ctx.Err() == nil {
 			g.Log.Info("reader doubted", slog.String("reader", string(reader.Box)), slog.Int("kind", int(kind)),
-				eventlog.Milliseconds("age", time.Since(at)), slog.Any("error", err))
+				eventlog.Milliseconds("age", g.Clock.Since(at)), slog.Any("error", err))
 		}
 	}
 	return proof{answered: answered}, false
@@ -207,7 +207,7 @@
 	if out, mine, err := g.census.Answer(kind, body); mine {
 		return out, err
 	}
-	now := time.Now()
+	now := g.Clock.Now()
 	switch kind {
 	case askSettingsPart, askReplicasPart:
 		return g.answerPart(kind, body)
--- a/internal/core/gateway/rig_test.go
+++ b/internal/core/gateway/rig_test.go
@@ -45,6 +45,11 @@
 }
 
 func startLogged(t *testing.T, store graniteknot.KeyedStore, lines *eventlog.Writer, change func(*directconf.Config)) *box {
+	t.Helper()
+	return startClocked(t, store, lines, graniteknot.AgeClock{}, change)
+}
+
+func startClocked(t *testing.T, store graniteknot.KeyedStore, lines *eventlog.Writer, clock graniteknot.AgeClock, change func(*directconf.Config)) *box {
 	t.Helper()
 	ip := loopback()
 	c := &directconf.Config{
@@ -63,7 +68,7 @@
 	}
 	g := gateway.New(gateway.Parts{
 		Config: c, Store: store, Translator: platform.Dialect{}, Log: log, Lines: lines, Meter: meter.New(),
-		Born: graniteknot.Incarnation(boxes.Load()),
+		Born: graniteknot.Incarnation(boxes.Load()), Clock: clock,
 	})
 	if err := g.Start(context.Background()); err != nil {
 		t.Fatal(err)
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -29,7 +29,7 @@
 
 // serve takes one caller's request to its answer.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := g.Clock.Now()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -106,7 +106,7 @@
 		reader = http.MaxBytesReader(x.w, reader, int64(limit))
 	}
 	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(x.job.End)
+	_ = control.SetReadDeadline(x.readBy())
 	body, err := io.ReadAll(reader)
 	_ = control.SetReadDeadline(time.Time{})
 	x.request.Body = body
@@ -184,7 +184,7 @@
 		slog.String("route", x.job.Route.Name), slog.String("kind", x.job.Route.Kind.String()),
 		slog.Int("attempts", result.Attempts), slog.String("replica", result.Replica),
 		eventlog.Milliseconds("first", result.First), eventlog.Milliseconds("pause", result.Pause),
-		eventlog.Milliseconds("took", time.Since(x.request.Arrived)),
+		eventlog.Milliseconds("took", x.gateway.Clock.Since(x.request.Arrived)),
 		slog.Int64("version", int64(x.version)), eventlog.Milliseconds("version_age", x.age),
 	}
 	if x.job.Account != nil {
@@ -257,3 +257,12 @@
 	}
 	return http.NewResponseController(x.w).Flush()
 }
+
+// readBy is when a connection's reads end at the latest; connections wait by the steady
+// clock. Zero is no bound.
+func (x *exchange) readBy() time.Time {
+	if x.job.End.IsZero() {
+		return time.Time{}
+	}
+	return time.Now().Add(x.gateway.Clock.Until(x.job.End))
+}
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -110,7 +110,7 @@
 // the store does not answer; false when none has.
 func (g *Gateway) settingsElsewhere(ctx context.Context) bool {
 	known := uint64(0)
-	if tree, _ := g.Trees.Current(time.Now()); tree != nil {
+	if tree, _ := g.Trees.Current(g.Clock.Now()); tree != nil {
 		known = uint64(tree.Version)
 	}
 	newer := func(state uint64) bool { return state > known }
@@ -126,11 +126,11 @@
 // elsewhere asks gateways in turn for what they know, and takes the records of the
 // first whose state is wanted.
 func (g *Gateway) elsewhere(ctx context.Context, stateKind, partKind presence.Kind, wanted func(uint64) bool, take func([]graniteknot.KeyedRecord, time.Time)) bool {
-	peers := g.Members.Living(presence.RoleGateway, g.Config.Box, time.Now())
+	peers := g.Members.Living(presence.RoleGateway, g.Config.Box, g.Clock.Now())
 	first := rand.IntN(max(1, len(peers)))
 	for i := range min(revalidateTries, len(peers)) {
 		peer := peers[(first+i)%len(peers)]
-		asked := time.Now()
+		asked := g.Clock.Now()
 		state, age, err := g.askPeer(ctx, peer.Peers, stateKind)
 		if err != nil || !wanted(state) {
 			continue
--- a/internal/core/gateway/young.go
+++ b/internal/core/gateway/young.go
@@ -23,7 +23,7 @@
 // process has not just started.
 func (g *Gateway) tree(ctx context.Context) (*catalog.Tree, time.Duration) {
 	for {
-		now := time.Now()
+		now := g.Clock.Now()
 		tree, age := g.Trees.Current(now)
 		if tree != nil || now.Sub(g.started) > youngFor || ctx.Err() != nil {
 			return tree, age
--- a/internal/core/presence/census.go
+++ b/internal/core/presence/census.go
@@ -32,6 +32,8 @@
 	Socket *Socket
 	View   *View
 	Self   Member
+	// Clock is what ages are decided by.
+	Clock graniteknot.AgeClock
 	// From returns whom to ask; nil for the gateways that are told directly. Gateways ask
 	// the readers: relays that asked each other would never learn of a process whose
 	// record none of them has read.
@@ -49,7 +51,7 @@
 // Ask asks a gateway or two who they know, and takes in what is new; false when none
 // answers. It is for Registrar's Elsewhere.
 func (c *Census) Ask(ctx context.Context) bool {
-	to := c.from(time.Now())
+	to := c.from(c.Clock.Now())
 	if len(to) == 0 {
 		return false
 	}
@@ -98,7 +100,7 @@
 		if err != nil || m.Box == c.Self.Box {
 			continue
 		}
-		c.View.PutAt(m, r.At, time.Now())
+		c.View.PutAt(m, r.At, c.Clock.Now())
 	}
 	return true
 }
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -34,6 +34,8 @@
 	View   *View
 	Health *watch.Health
 	Log    *eventlog.Log
+	// Clock is what ages are decided by.
+	Clock graniteknot.AgeClock
 	// Joined is called when a member is new, or a new life of one; nil for
 	// nothing.
 	Joined func(Member)
@@ -96,7 +98,7 @@
 		met()
 	}
 	follower := watch.Follower{
-		Store: r.Store, Topic: graniteknot.TopicMembers, Health: r.Health, Wait: followWait, Pause: followPause,
+		Store: r.Store, Topic: graniteknot.TopicMembers, Health: r.Health, Clock: r.Clock, Wait: followWait, Pause: followPause,
 		Newest: newest, Next: r.take, Failed: func(error) { met() }, Revalidate: r.Elsewhere, RevalidatePause: CensusPeriod,
 	}
 	follower.Run(ctx)
@@ -126,7 +128,7 @@
 			r.own(m, record.At)
 			continue
 		}
-		if !r.View.PutAt(m, record.At, time.Now()) {
+		if !r.View.PutAt(m, record.At, r.Clock.Now()) {
 			continue
 		}
 		r.Log.Info("member", slog.String("member", string(m.Box)), slog.String("member_role", string(m.Role)),
--- a/internal/core/ranks/doer.go
+++ b/internal/core/ranks/doer.go
@@ -27,6 +27,8 @@
 // fields. It implements wire.Ranks.
 type Doer struct {
 	Rank held.Rank
+	// Clock is what the silence of keepers is decided by.
+	Clock graniteknot.AgeClock
 	// Target is the rank's address, for keepers that have to go around a
 	// sidecar.
 	Target graniteknot.Address
@@ -73,7 +75,7 @@
 	defer d.mu.Unlock()
 	d.keeper, d.told = r, true
 	if f.Number > d.forecast.Number {
-		d.forecast, d.foretold = f, time.Now()
+		d.forecast, d.foretold = f, d.Clock.Now()
 	}
 }
 
@@ -94,7 +96,7 @@
 	if fence > d.fence {
 		d.Log.Info("keeper", slog.Int64("fence", int64(fence)), slog.Int64("former", int64(d.fence)))
 	}
-	d.fence, d.heard = fence, time.Now()
+	d.fence, d.heard = fence, d.Clock.Now()
 	return 0
 }
 
@@ -118,7 +120,7 @@
 		State: stateToWire(report.State, report.Running+report.Waiting > 0), Pace: report.Pace,
 	}
 	if r.GetFence() == 0 && fence != 0 {
-		reply.Keeper, reply.KeeperAgeMs = int64(fence), time.Since(heard).Milliseconds()
+		reply.Keeper, reply.KeeperAgeMs = int64(fence), d.Clock.Since(heard).Milliseconds()
 	}
 	if r.GetCounts() {
 		if reply.Counts, err = d.Rank.Counts(ctx); err != nil {
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -76,6 +76,8 @@
 
 // Parts are what a Keeper is made of.
 type Parts struct {
+	// Clock is what the age of what is known of ranks is decided by.
+	Clock graniteknot.AgeClock
 	// Fence is higher than any former keeper's.
 	Fence graniteknot.Position
 	// Own is the keeper's own rank, Former that of the keeper before it; the same
@@ -153,6 +155,9 @@
 		Parts: p, fixed: p.Planner.Threshold != 0, prepared: make([]time.Time, len(p.Members)),
 		window: newWindow(p.Planner.Shape, loadOne(p.Engine.Experts)), news: make(chan struct{}, 1),
 	}
+	for _, m := range p.Members {
+		m.clock = p.Clock
+	}
 	k.parts = partsOf(p.Members, p.Own)
 	s := p.Planner.Shape
 	if s.Ranks*s.Layers*s.Experts > smallGroup {
@@ -210,7 +215,7 @@
 // round reads all ranks and gives the orders that follow. It returns when the
 // next round is due.
 func (k *Keeper) round(ctx context.Context) (time.Duration, graniteknot.Position) {
-	now := time.Now()
+	now := k.Clock.Now()
 	count := k.tally == nil && now.Sub(k.counted) >= k.countPeriod() && k.pause(k.phase) > fastRound
 	if k.tally != nil && k.placement != nil && k.phase != held.PhaseClosed {
 		k.tally.read(now, k.switching(now))
@@ -280,7 +285,7 @@
 	if p == k.phase {
 		return
 	}
-	now := time.Now()
+	now := k.Clock.Now()
 	k.pace.enter(p, now)
 	if k.since.IsZero() {
 		k.since = now
--- a/internal/core/ranks/look.go
+++ b/internal/core/ranks/look.go
@@ -14,7 +14,7 @@
 	looks = make([]seen, len(k.Members))
 	for i, m := range k.Members {
 		last, at := m.shown()
-		if time.Since(at) > lookAge {
+		if k.Clock.Since(at) > lookAge {
 			return nil, false
 		}
 		looks[i] = last
@@ -69,11 +69,11 @@
 		if graniteknot.Rank(i) == k.Former {
 			continue
 		}
-		if at.IsZero() || time.Since(at) > lookAge || !last.state.Open || last.state.Epoch != k.epoch {
+		if at.IsZero() || k.Clock.Since(at) > lookAge || !last.state.Open || last.state.Epoch != k.epoch {
 			// What was foretold is of a map that may be forgotten.
 			k.forget()
 		}
-		if time.Since(at) > lookAge {
+		if k.Clock.Since(at) > lookAge {
 			k.enter(held.PhaseClosed)
 			return idleRound
 		}
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -34,6 +34,8 @@
 // answer.
 type Member struct {
 	rank graniteknot.Rank
+	// clock is the keeper's.
+	clock graniteknot.AgeClock
 	// doer is the sidecar's calls.
 	doer wire.Ranks
 	// address is the sidecar's, for others to reach it; empty when it has none.
@@ -178,13 +180,13 @@
 	if _, err := m.doer.Look(ctx, &wire.LookRequest{}); err == nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.heard = time.Now()
+		m.heard = m.clock.Now()
 	}
 }
 
 func (m *Member) take(reply *wire.LookReply, began time.Time) {
 	m.mu.Lock()
-	m.heard = time.Now()
+	m.heard = m.clock.Now()
 	m.fenced = max(m.fenced, graniteknot.Position(reply.GetFenced()))
 	m.mu.Unlock()
 	if reply.GetFenced() == 0 {
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -103,7 +103,7 @@
 	case held.KindPrepare:
 		return
 	}
-	m.lookedAt = time.Now()
+	m.lookedAt = m.clock.Now()
 }
 
 // requestOf tells a map by how it differs from the one that it is based on, if
--- a/internal/core/ranks/tally.go
+++ b/internal/core/ranks/tally.go
@@ -29,6 +29,8 @@
 // tally reads the counts of a large group in sums, beside the keeper's rounds. Each
 // reading asks how much counts have grown since the last one that came.
 type tally struct {
+	// clock is the keeper's.
+	clock  graniteknot.AgeClock
 	window window
 	parts  [][]*Member
 	fence  graniteknot.Position
@@ -53,7 +55,7 @@
 
 // newTally returns a tally of the members' counts.
 func newTally(w window, p *Parts, news chan<- struct{}) *tally {
-	t := &tally{window: w, fence: p.Fence, link: p.Link, parts: divided(p.Members, p.Own), news: news}
+	t := &tally{clock: p.Clock, window: w, fence: p.Fence, link: p.Link, parts: divided(p.Members, p.Own), news: news}
 	if !addressed(p.Members) {
 		t.parts = nil
 		for _, m := range p.Members {
@@ -85,7 +87,7 @@
 
 func (t *tally) run(ctx context.Context) {
 	for {
-		r, ok := t.question(time.Now())
+		r, ok := t.question(t.clock.Now())
 		if !ok || ctx.Err() != nil {
 			return
 		}
@@ -93,9 +95,9 @@
 			delay.For(ctx, quietStep)
 			continue
 		}
-		began := time.Now()
+		began := t.clock.Now()
 		pause := t.gather(ctx, r, began)
-		delay.For(ctx, time.Until(began.Add(pause)))
+		delay.For(ctx, t.clock.Until(began.Add(pause)))
 	}
 }
 
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -40,7 +40,7 @@
 	var opened time.Time
 	for ctx.Err() == nil {
 		delay.For(ctx, keepLook)
-		now := time.Now()
+		now := s.Clock.Now()
 		report, age := s.last(now)
 		if report.Group == "" || age > reportAge || !report.State.Open {
 			opened = time.Time{}
@@ -90,7 +90,7 @@
 	}
 	// All others found the ranks at the same moment, when the last one answered.
 	delay.For(ctx, time.Duration(report.Rank)*claimTurn)
-	if !s.due(report.Rank, opened, time.Now()) {
+	if !s.due(report.Rank, opened, s.Clock.Now()) {
 		// Another sidecar has become the keeper meanwhile.
 		return
 	}
@@ -111,6 +111,7 @@
 		// Positions begin at 0, fences at 1.
 		Fence: at + 1, Own: report.Rank, Former: former, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: found.Members,
 		Link:    s.Config.Link,
+		Clock:   s.Clock,
 		Tell:    s.takeForecast,
 		Planner: &planner.Planner{Shape: shape, Smoothing: 1},
 	})
@@ -151,7 +152,7 @@
 // times in 20 s, in a group of 129 ranks whose keeper's link was full.
 func (s *Sidecar) alive(r graniteknot.Rank, found *ranks.Found) bool {
 	fence, heard := s.doer.Fence()
-	silent := time.Since(heard)
+	silent := s.Clock.Since(heard)
 	if fence == 0 || silent > keeperSilence+time.Duration(r)*keeperTurn+mostDoubt {
 		return false
 	}
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -49,6 +49,8 @@
 	Lines *eventlog.Writer
 	Meter *meter.Meter
 	Born  graniteknot.Incarnation
+	// Clock is what ages and leases are decided by.
+	Clock graniteknot.AgeClock
 }
 
 // Sidecar is the process. Make it with New.
@@ -104,7 +106,7 @@
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	s := &Sidecar{Parts: p, own: p.Rank(p.Config.Target), news: make(chan struct{}, 1)}
 	s.Health.Log = p.Log
-	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log, Meter: p.Meter}
+	s.doer = &ranks.Doer{Rank: s.own, Target: p.Config.Target, Log: p.Log, Meter: p.Meter, Clock: p.Clock}
 	return s
 }
 
@@ -122,9 +124,9 @@
 		return err
 	}
 	self := presence.Member{Box: c.Box, Role: presence.RoleSidecar, Zone: c.Zone, Peers: c.Peers, Target: c.Target, Born: s.Born, Link: c.Link}
-	s.census = presence.Census{Socket: socket, View: &s.Members, Self: self}
+	s.census = presence.Census{Socket: socket, View: &s.Members, Self: self, Clock: s.Clock}
 	registrar := &presence.Registrar{
-		Store: s.Store, View: &s.Members, Health: &s.Health, Log: s.Log, Self: self, Elsewhere: s.census.Ask,
+		Store: s.Store, View: &s.Members, Health: &s.Health, Log: s.Log, Self: self, Clock: s.Clock, Elsewhere: s.census.Ask,
 	}
 	s.group.Go(registrar.Register)
 	s.group.Go(registrar.Follow)
@@ -169,7 +171,7 @@
 }
 
 // heard takes a gateway's datagram, which makes it known.
-func (s *Sidecar) heard(m *presence.Message) { s.Members.Heard(m, time.Now()) }
+func (s *Sidecar) heard(m *presence.Message) { s.Members.Heard(m, s.Clock.Now()) }
 
 // digests tells the gateways how busy the target is: as often as their number
 // allows, and at once what can't wait.
@@ -198,12 +200,12 @@
 			lives.forget()
 			continue
 		}
-		life := lives.see(ctx, s, &report, time.Now())
+		life := lives.see(ctx, s, &report, s.Clock.Now())
 		s.note(&report)
 		to := s.gateways()
 		news = news || report.State.Open != open
-		if news || due(told, s.period(len(to)), time.Now()) {
-			told, open = time.Now(), report.State.Open
+		if news || due(told, s.period(len(to)), s.Clock.Now()) {
+			told, open = s.Clock.Now(), report.State.Open
 			s.tell(&report, life, to)
 		}
 	}
@@ -222,12 +224,12 @@
 func (s *Sidecar) note(r *held.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report, s.read = *r, time.Now()
+	s.report, s.read = *r, s.Clock.Now()
 	s.passTime = s.pass.see(r.State.Step, r.Running > 0, s.read)
 }
 
 // gateways returns where the gateways are told.
-func (s *Sidecar) gateways() []graniteknot.Address { return s.Members.Audience("", time.Now()) }
+func (s *Sidecar) gateways() []graniteknot.Address { return s.Members.Audience("", s.Clock.Now()) }
 
 // period is the time between two digests that are told to so many.
 func (s *Sidecar) period(told int) time.Duration {
@@ -238,7 +240,7 @@
 }
 
 func (s *Sidecar) tell(r *held.Report, life catalog.Mark, to []graniteknot.Address) {
-	f := s.foretold(time.Now())
+	f := s.foretold(s.Clock.Now())
 	s.mu.Lock()
 	pass := s.passTime
 	s.told = f.Skew
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -25,6 +25,8 @@
 	Store  graniteknot.KeyedStore
 	Topic  graniteknot.Topic
 	Health *Health
+	// Clock is what the age of what was read is decided by.
+	Clock graniteknot.AgeClock
 	// Wait is how long a read waits for a record.
 	Wait time.Duration
 	// Spacing is the least time between the begins of two reads, so that a writer of
@@ -101,7 +103,7 @@
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
-	began := time.Now()
+	began := f.Clock.Now()
 	if !f.synced {
 		page, err := f.Store.Newest(ctx, f.Topic)
 		if err != nil {
@@ -146,7 +148,7 @@
 
 func (f *Follower) good() {
 	f.retry = 0
-	f.Health.Good(time.Now())
+	f.Health.Good(f.Clock.Now())
 }
 
 func (f *Follower) note(ctx context.Context, began time.Time, err error) error {
