A leaving agent stays until every entry knows that it leaves, and while it is asked for

TestPlannedStopsOfAgents had once ended six requests as unknown: keys named an agent that was gone. An agent that leaves stays for the life of the address answers and a second, counted from its own word; an entry that learns of it later names it for longer. It now tells each entry until that has answered (15 s at most), counts from then on, and stays while requests still come.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -16,6 +16,7 @@
 	"graniteknot.org/go/internal/core/node"
 	"graniteknot.org/go/internal/core/orders"
 	"graniteknot.org/go/internal/core/serve"
+	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -103,17 +104,14 @@
 
 // Leave refuses new work, and returns when what was in progress has ended or
 // ctx is done; then it ends the rest and tells each asker the truth. It goes on
-// refusing for the life of the address answers: until then callers may come with
-// keys that name this agent, and only it can tell them that they did not run.
+// refusing for the life of the address answers, from when all entries know that it
+// leaves, and for as long as requests still come that name it: only it can tell them
+// that they did not run.
 func (a *Agent) Leave(ctx context.Context) {
 	a.core.Leave()
 	a.node.Leave(ctx)
-	timer := time.NewTimer(a.node.Store.Tree().Root().AddressValid + addressGrace)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	asked := func() uint64 { return a.core.Counts().Dispatched }
+	delay.Quiet(ctx, a.node.Store.Tree().Root().AddressValid+addressGrace, addressGrace, asked)
 	a.core.Drain(ctx)
 }
 
--- a/internal/core/node/doc.go
+++ b/internal/core/node/doc.go
@@ -27,6 +27,11 @@
 	pokes = 3
 	// newsLimit bounds the lines of news in one message.
 	newsLimit = 12
+	// tellPause is the time between two tries to tell entries that this process leaves.
+	tellPause = 100 * time.Millisecond
+	// tellTime bounds these: one that does not answer for so long has ended, or is cut off
+	// from callers as well.
+	tellTime = 15 * time.Second
 	// logTime bounds one call of the log.
 	logTime = 2 * time.Second
 	// lostPeriod is how often a member thought dead is tried again.
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -105,13 +105,33 @@
 	n.group.Go(func(ctx context.Context) { delay.Every(ctx, period, step) })
 }
 
-// Leave tells the peers that this process is going.
+// Leave tells the peers that this process is going, and returns once every entry that
+// lives knows it, or does not answer for tellTime: until then an entry may name this process to callers.
 func (n *Node) Leave(ctx context.Context) {
 	n.Members.Leave()
 	n.Timeline.Add(timeline.Event{Kind: timeline.KindLeaving})
 	for _, a := range n.Members.Peers(2*pokes, "") {
 		n.sync(ctx, a, false)
 	}
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	told := map[graniteknot.Address]bool{n.Config.Listen: true}
+	for ctx.Err() == nil && !n.tellEntries(ctx, told) {
+		delay.For(ctx, tellPause)
+	}
+}
+
+// tellEntries tells the entries that were not told yet; true when none is left.
+func (n *Node) tellEntries(ctx context.Context, told map[graniteknot.Address]bool) bool {
+	whole := true
+	for _, m := range n.Members.Members(member.RoleEntry) {
+		if told[m.Address] || m.State == member.StateDead || m.State == member.StateLeaving {
+			continue
+		}
+		told[m.Address] = n.sync(ctx, m.Address, false)
+		whole = whole && told[m.Address]
+	}
+	return whole
 }
 
 // Stop ends the node's own work.
--- a/internal/delay/delay.go
+++ b/internal/delay/delay.go
@@ -32,3 +32,23 @@
 		}
 	}
 }
+
+// quietLook is the time between two looks of Quiet.
+const quietLook = 20 * time.Millisecond
+
+// Quiet waits for at least a time, and until a count has stayed the same for another, or
+// until ctx is done.
+func Quiet(ctx context.Context, least, still time.Duration, count func() uint64) {
+	began := time.Now()
+	last, since := count(), began
+	for ctx.Err() == nil {
+		now := time.Now()
+		if n := count(); n != last {
+			last, since = n, now
+		}
+		if now.Sub(began) >= least && now.Sub(since) >= still {
+			return
+		}
+		For(ctx, quietLook)
+	}
+}
