--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -10,6 +10,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/node"
+	"graniteknot.org/go/internal/core/quarantine"
 	"graniteknot.org/go/internal/core/relay"
 	"graniteknot.org/go/internal/core/retry"
 	"graniteknot.org/go/internal/core/timeline"
@@ -45,7 +46,7 @@
 	e.budget = &retry.Budget{Percent: func() int64 { return n.Store.Tree().Root().RetryPercent }}
 	e.relay = &relay.Relay{
 		Agents: n.Client, Routes: e.routes, Budget: e.budget, Zone: n.Config.Zone,
-		Timeline: n.Timeline, Counts: &e.chunks,
+		Timeline: n.Timeline, Counts: &e.chunks, Quarantine: &quarantine.Table{},
 	}
 	s.Router.HandleFunc("/v1/addresses", e.addresses).Methods(http.MethodGet)
 	s.Router.HandleFunc("/v1/chat/completions", e.chatCompletions).Methods(http.MethodPost)
--- a/internal/core/relay/once.go
+++ b/internal/core/relay/once.go
@@ -23,7 +23,11 @@
 			return n.noAuthority(last)
 		}
 		var proved bool
+		if n.quarantined() && a.chosen {
+			return n.result(graniteknot.OutcomeNotRun, CodeEndsTargets, last.reason)
+		}
 		last, proved = n.ask(ctx, a)
+		n.noteEnd(a.address, last)
 		if result, done := n.settledOnce(last); done {
 			return result
 		}
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/quarantine"
 	"graniteknot.org/go/internal/core/retry"
 	"graniteknot.org/go/internal/core/timeline"
 	"graniteknot.org/go/internal/stream"
@@ -41,6 +42,8 @@
 	Routes   Routes
 	Budget   *retry.Budget
 	Zone     graniteknot.AvailabilityZone
+	// Quarantine knows which requests end targets; nil for none.
+	Quarantine *quarantine.Table
 	Timeline *timeline.Recorder
 	Counts   *stream.Counts
 	// Unsafe takes the sequence check out, for the test that shows that it is
--- a/internal/core/relay/repeatable.go
+++ b/internal/core/relay/repeatable.go
@@ -16,6 +16,9 @@
 	var open []authority
 	last := ended{end: endUnreached, reason: "no target"}
 	for n.attempt < maxAttempts && ctx.Err() == nil {
+		if n.quarantined() {
+			return n.giveUpAs(ctx, open, CodeEndsTargets, last.reason)
+		}
 		if n.attempt > 0 && !n.mayRetry(last) {
 			break
 		}
@@ -32,6 +35,7 @@
 		}
 		last = n.try(ctx, choice.Address, d)
 		n.table().Done(choice.Address, resultOf(ctx, last), n.relay.now())
+		n.noteEnd(choice.Address, last)
 		if result, done := n.settled(last); done {
 			return result
 		}
@@ -86,6 +90,10 @@
 // its way is withdrawn; only if all of it is proved not to have run, and
 // nothing was delivered, is the word "not-run".
 func (n *run) giveUp(ctx context.Context, open []authority, last ended) Result {
+	return n.giveUpAs(ctx, open, codeOf(ctx, last), last.reason)
+}
+
+func (n *run) giveUpAs(ctx context.Context, open []authority, code Code, reason string) Result {
 	outcome := graniteknot.OutcomeNotRun
 	if n.delivered > 0 {
 		outcome = graniteknot.OutcomeUnknown
@@ -97,7 +105,7 @@
 			outcome = graniteknot.OutcomeUnknown
 		}
 	}
-	return n.result(outcome, codeOf(ctx, last), last.reason)
+	return n.result(outcome, code, reason)
 }
 
 func codeOf(ctx context.Context, e ended) Code {
--- a/internal/core/relay/request.go
+++ b/internal/core/relay/request.go
@@ -60,6 +60,8 @@
 	CodeDeadline        Code = "deadline"
 	CodeAlreadyAnswered Code = "already_answered"
 	CodeCallerGone      Code = "caller_gone"
+	// CodeEndsTargets is for a request under which targets ended.
+	CodeEndsTargets Code = "ends_targets"
 	// CodeCancelled is for a caller that left, or an entry that stopped at the
 	// bound of its planned stop.
 	CodeCancelled Code = "cancelled"
--- a/internal/core/serve/run.go
+++ b/internal/core/serve/run.go
@@ -86,12 +86,22 @@
 		e.Outcome = graniteknot.OutcomeNotRun
 	}
 	if err != nil {
-		e.Reason = err.Error()
+		e.Reason = a.reason(e.Outcome, err)
 	}
 	a.Claims.Finish(j.id, e.Outcome)
 	return e
 }
 
+// reason says why work has no answer. An entry that hears that the target ended under it
+// counts that for the request.
+func (a *Agent) reason(o graniteknot.Outcome, err error) string {
+	teller, tells := a.Target.(graniteknot.EndTeller)
+	if o == graniteknot.OutcomeUnknown && tells && teller.Ended(a.group.Context()) {
+		return graniteknot.ReasonTargetEnded + ": " + err.Error()
+	}
+	return err.Error()
+}
+
 // runOnce hands the job to the target until it ends or the slot is wanted.
 func (a *Agent) runOnce(j *job, slot *fairq.Slot) error {
 	ctx, cancel := context.WithCancelCause(j.ctx)
