--- a/ageclock.go
+++ b/ageclock.go
@@ -26,11 +26,14 @@
 }
 
 // Now returns the time; a suspension that ended within the last 5 ms may be missing.
-func (c AgeClock) Now() time.Time {
+func (c AgeClock) Now() time.Time { return time.Now().Add(c.Ahead()) }
+
+// Ahead returns by how much the clock is ahead of Go's.
+func (c AgeClock) Ahead() time.Duration {
 	if c.Suspension != nil {
-		return time.Now().Add(c.Suspension.Suspended())
+		return c.Suspension.Suspended()
 	}
-	return time.Now().Add(boottime.Suspended())
+	return boottime.Suspended()
 }
 
 // Exact returns the time for decisions that a suspension must not outrun.
--- a/internal/core/forward/ends.go
+++ b/internal/core/forward/ends.go
@@ -66,11 +66,10 @@
 
 // Expire ends the requests whose time was over while the box was suspended.
 func (f *Forwarder) Expire() {
-	now := f.Clock.Now()
-	if !f.ends.suspended(now.Sub(time.Now())) {
+	if !f.ends.suspended(f.Clock.Ahead()) {
 		return
 	}
-	for _, over := range f.ends.past(now) {
+	for _, over := range f.ends.past(f.Clock.Now()) {
 		over()
 	}
 }
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -166,10 +166,10 @@
 
 // again is when the caller of a request that did not run may come back.
 func again(r *forward.Result) time.Duration {
-	switch r.Reason {
-	case forward.ReasonBusy:
+	if r.Reason == forward.ReasonBusy {
 		return time.Duration((1 + 0.4*rand.Float64()) * float64(max(r.Again, busyAgain)))
-	case forward.ReasonQuarantined:
+	}
+	if r.Reason == forward.ReasonQuarantined {
 		return quarantinedAgain
 	}
 	return max(r.Again, refusedAgain)
--- a/internal/core/quarantine/key_test.go
+++ b/internal/core/quarantine/key_test.go
@@ -17,8 +17,15 @@
 	}
 	seen := map[quarantine.Key]request{}
 	for _, r := range []request{
-		{"/a/", "x", "body"}, {"/b/", "x", "body"}, {"/a/", "y", "body"}, {"/a/", "x", "other"},
-		{"/a/x", "", "body"}, {"/a/", "", "xbody"}, {"", "/a/x", "body"}, {"/a/", "xbody", ""}, {"", "", ""},
+		{"/a/", "x", "body"},
+		{"/b/", "x", "body"},
+		{"/a/", "y", "body"},
+		{"/a/", "x", "other"},
+		{"/a/x", "", "body"},
+		{"/a/", "", "xbody"},
+		{"", "/a/x", "body"},
+		{"/a/", "xbody", ""},
+		{"", "", ""},
 	} {
 		key := quarantine.KeyOf(r.path, r.account, []byte(r.body))
 		if other, known := seen[key]; known {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -201,9 +201,15 @@
 	}
 	name := key("x").String()
 	for _, odd := range []graniteknot.KeyedRecord{
-		{Key: "x", Value: []byte(`{"lives":[1,2]}`)}, {Key: name, Value: []byte(`{}`)}, {Key: name, Value: []byte(`null`)},
-		{Key: name, Value: []byte(`{"lives":[1]}`)}, {Key: name, Value: []byte(`{"lives":"1"}`)}, {Key: name, Value: []byte{0xff, 0}},
-		{Key: name, Value: []byte(`{"lives":[1,2,3,4,5]}`)}, {Key: name, Value: []byte(`{"lives":[-1,2]}`)}, {Key: name + "00", Value: []byte(`{"lives":[1,2]}`)},
+		{Key: "x", Value: []byte(`{"lives":[1,2]}`)},
+		{Key: name, Value: []byte(`{}`)},
+		{Key: name, Value: []byte(`null`)},
+		{Key: name, Value: []byte(`{"lives":[1]}`)},
+		{Key: name, Value: []byte(`{"lives":"1"}`)},
+		{Key: name, Value: []byte{0xff, 0}},
+		{Key: name, Value: []byte(`{"lives":[1,2,3,4,5]}`)},
+		{Key: name, Value: []byte(`{"lives":[-1,2]}`)},
+		{Key: name + "00", Value: []byte(`{"lives":[1,2]}`)},
 	} {
 		if got, err := quarantine.EntryOf(odd); err == nil {
 			t.Errorf("%s %q was read as %+v", odd.Key, odd.Value, got)
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -38,14 +38,14 @@
 // Relay takes requests to their outcomes. Set the exported fields; Timeline
 // and Counts may be nil.
 type Relay struct {
-	Agents   Agents
-	Routes   Routes
-	Budget   *retry.Budget
-	Zone     graniteknot.AvailabilityZone
+	Agents Agents
+	Routes Routes
+	Budget *retry.Budget
+	Zone   graniteknot.AvailabilityZone
 	// Quarantine knows which requests end targets; nil for none.
 	Quarantine *quarantine.Table
-	Timeline *timeline.Recorder
-	Counts   *stream.Counts
+	Timeline   *timeline.Recorder
+	Counts     *stream.Counts
 	// Unsafe takes the sequence check out, for the test that shows that it is
 	// needed.
 	Unsafe bool
