The soak has a request that ends replicas, lives under one id and records of other writers

The seeds that were there play as before: the new things draw from a stream of their own. Checked: not more than three of its tries reach replicas later than 3 s (and 8 s of slack) after the third end.

--- a/internal/soak/call.go
+++ b/internal/soak/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -62,14 +63,19 @@
 }
 
 func (c *caller) one(ctx context.Context, i int, to *process) {
-	x := &call{id: fmt.Sprintf("%s-%d", c.name, i), once: c.choose(2) == 0, key: c.key(), gateway: to}
+	c.send(ctx, &call{id: fmt.Sprintf("%s-%d", c.name, i), once: c.choose(2) == 0, key: c.key(), gateway: to}, "")
+}
+
+// send makes a call with a body, and keeps it.
+func (c *caller) send(ctx context.Context, x *call, body string) {
+	to := x.gateway
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	path := "/repeat/x"
 	if x.once {
 		path = "/once/x"
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to.requests)+path, http.NoBody)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to.requests)+path, strings.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -44,7 +44,7 @@
 			out = append(out, Finding{"nothing runs unasked", id, "no caller sent it"})
 		}
 	}
-	return out
+	return append(out, checkDeadly(ran)...)
 }
 
 func checkCall(c *call, ran []run) []Finding {
--- /dev/null
+++ b/internal/soak/ends.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+const (
+	// deadly is the body of the request that ends whoever begins it, and deadlyPause the
+	// time between two tries of it.
+	deadly      = "ends replicas"
+	deadlyPause = 250 * time.Millisecond
+	// deadlyID begins the ids of its tries.
+	deadlyID = "deadly-"
+	// reviveTime is how long a replica that has ended takes to be back.
+	reviveTime = 600 * time.Millisecond
+	// contactTime is within how long after the third end all gateways know of the request,
+	// and mostLater how often it may still reach replicas afterwards.
+	contactTime = 3 * time.Second
+	enoughEnds  = 3
+	mostLater   = 3
+	// endsStream is the stream of the seed that the tries are drawn from; the faults and
+	// the callers have others.
+	endsStream = 1 << 20
+	// scribblePause is the time between two odd records.
+	scribblePause = 120 * time.Millisecond
+)
+
+// revive brings a replica back under its id each time it ends.
+func (w *world) revive(ctx context.Context, s *standing, born graniteknot.Born) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.Ended():
+	}
+	wait(ctx, reviveTime)
+	if ctx.Err() != nil {
+		return
+	}
+	next, err := s.Again()
+	if err != nil {
+		// Another process has the port: the replica stays away.
+		return
+	}
+	next.Always(work)
+	born++
+	again := &standing{Replica: next, born: born}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.all = append(w.all, again)
+	if i := slices.Index(w.replicas, s); i >= 0 {
+		w.replicas[i] = again
+		w.put(s.ID, platformtest.RecordOfLife(service, next.Address(), false, born))
+	}
+	w.lives.Go(func(ctx context.Context) { w.revive(ctx, again, born) })
+}
+
+// runDeadly sends the request that ends replicas to gateways until ctx is done.
+func (c *caller) runDeadly(ctx context.Context, gateways []*process, choose func(int) int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		to := gateways[choose(len(gateways))]
+		c.send(ctx, &call{id: fmt.Sprint(deadlyID, i), key: c.key(), gateway: to}, deadly)
+		wait(ctx, deadlyPause)
+	}
+}
+
+// scribble has another writer put records that can't be used, now and then over a
+// replica's, which writes its own anew.
+func (w *world) scribble(ctx context.Context, choose func(int) int) {
+	odd := []string{"", "null", "{}", "{", "\xff\x00", `{"phase":"resting"}`, `{"backend":"s","address":"nowhere","phase":"ready"}`}
+	topics := []graniteknot.Topic{graniteknot.TopicReplicas, graniteknot.TopicMembers, graniteknot.TopicQuarantine}
+	for i := 0; ctx.Err() == nil; i++ {
+		text := []byte(odd[choose(len(odd))])
+		w.store.Records.Put(topics[choose(len(topics))], fmt.Sprint("odd-", i%16), text)
+		if choose(10) == 0 {
+			s := w.replica(choose(1 << 20))
+			w.put(s.ID, text)
+			wait(ctx, scribblePause)
+			w.mu.Lock()
+			w.put(s.ID, platformtest.RecordOfLife(service, s.Address(), !s.leaving.IsZero(), s.born))
+			w.mu.Unlock()
+		}
+		wait(ctx, scribblePause)
+	}
+}
+
+// checkDeadly bounds how often the request that ends replicas reaches them.
+func checkDeadly(ran map[string][]run) []Finding {
+	var ends []time.Time
+	for id, runs := range ran {
+		if !strings.HasPrefix(id, deadlyID) {
+			continue
+		}
+		for _, r := range runs {
+			ends = append(ends, r.arrived)
+		}
+	}
+	if len(ends) <= enoughEnds {
+		return nil
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	known := ends[enoughEnds-1].Add(contactTime + slack)
+	later := 0
+	for _, at := range ends {
+		if at.After(known) {
+			later++
+		}
+	}
+	if later <= mostLater {
+		return nil
+	}
+	return []Finding{{
+		"requests that end replicas are kept from them", deadlyID,
+		fmt.Sprintf("%d ends, %d of them later than %v after the third", len(ends), later, contactTime+slack),
+	}}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -28,6 +29,9 @@
 	// gateways have to serve again.
 	Faults int
 	Span   time.Duration
+	// Ends has one request come that ends whoever begins it, and another writer put odd
+	// records.
+	Ends bool
 	// Say is told each fault; nil for nobody.
 	Say func(string)
 }
@@ -94,6 +98,12 @@
 		callers[i] = newCaller(i, w, random.IntN)
 		load.Go(func(context.Context) { callers[i].run(calling, gateways) })
 	}
+	others := &caller{name: "deadly", key: w.newestKey, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if o.Ends {
+		random := rand.New(rand.NewPCG(o.Seed, endsStream))
+		load.Go(func(context.Context) { others.runDeadly(calling, gateways, random.IntN) })
+		load.Go(func(context.Context) { w.scribble(calling, rand.New(rand.NewPCG(o.Seed, endsStream+1)).IntN) })
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
 	var findings []Finding
@@ -103,7 +113,7 @@
 	stop()
 	load.Wait()
 	var calls []*call
-	for _, c := range callers {
+	for _, c := range append(callers, others) {
 		calls = append(calls, c.calls...)
 	}
 	return calls, findings
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/platform/platformtest"
 )
 
@@ -38,6 +40,8 @@
 	// all are the replicas that ever were.
 	all  []*standing
 	keys []*key
+	// lives brings replicas back that have ended.
+	lives group.Group
 	// probes are the calls that found out whether gateways serve.
 	probes []*call
 }
@@ -47,6 +51,8 @@
 	*platformtest.Replica
 	// leaving is when the store took its word that it leaves; zero before.
 	leaving time.Time
+	// born tells its life from others under its id.
+	born graniteknot.Born
 }
 
 // key is one key of the account.
@@ -70,8 +76,12 @@
 	return w, nil
 }
 
-// work answers a request with its own id.
+// work answers a request with its own id, but for one that ends whoever begins it.
 func work(x *platformtest.Exchange) {
+	if string(x.Body) == deadly {
+		platformtest.Crash(x)
+		return
+	}
 	x.Run()
 	time.Sleep(workTime)
 	body := answerTo(platformtest.RequestID(x.Request))
@@ -110,10 +120,11 @@
 		return err
 	}
 	r.Always(work)
-	s := &standing{Replica: r}
+	s := &standing{Replica: r, born: 1}
 	w.replicas = append(w.replicas, s)
 	w.all = append(w.all, s)
-	w.put(r.ID, platformtest.Record(service, r.Address(), false))
+	w.put(r.ID, platformtest.RecordOfLife(service, r.Address(), false, 1))
+	w.lives.Go(func(ctx context.Context) { w.revive(ctx, s, 1) })
 	return nil
 }
 
@@ -132,7 +143,7 @@
 	defer w.mu.Unlock()
 	oldest := w.replicas[0]
 	w.replicas = w.replicas[1:]
-	w.put(oldest.ID, platformtest.Record(service, oldest.Address(), true))
+	w.put(oldest.ID, platformtest.RecordOfLife(service, oldest.Address(), true, oldest.born))
 	oldest.leaving = time.Now()
 	return nil
 }
@@ -218,6 +229,7 @@
 }
 
 func (w *world) close() {
+	w.lives.Stop()
 	for _, r := range w.all {
 		r.Close()
 	}
