--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -37,18 +36,6 @@
 	wardPatience = 1500 * time.Millisecond
 )
 
-// ward knows what other processes and the store have of the quarantine. The zero value
-// knows nothing.
-type ward struct {
-	mu sync.Mutex
-	// taken is the digest that was last taken of each gateway.
-	taken map[graniteknot.BoxName]uint64
-	// stored are the requests that the store has a record of.
-	stored map[quarantine.Key]bool
-	// due is when each request that it has none of is to be written.
-	due map[quarantine.Key]time.Time
-}
-
 // quarantineChanged tells what an own request showed.
 func (g *Gateway) quarantineChanged(e quarantine.Entry) {
 	g.logQuarantined(&e)
--- a/internal/core/gateway/ward.go
+++ b/internal/core/gateway/ward.go
@@ -1,12 +1,25 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/quarantine"
 )
 
+// ward knows what other processes and the store have of the quarantine. The zero value
+// knows nothing.
+type ward struct {
+	mu sync.Mutex
+	// taken is the digest that was last taken of each gateway.
+	taken map[graniteknot.BoxName]uint64
+	// stored are the requests that the store has a record of.
+	stored map[quarantine.Key]bool
+	// due is when each request that it has none of is to be written.
+	due map[quarantine.Key]time.Time
+}
+
 // expect notes when the store is to have a record of an entry, or none of one that was
 // released.
 func (w *ward) expect(e *quarantine.Entry, due time.Time) {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// TestManyEndsAtOnceAreNoRequests' doing: a loss of power ends replicas under whatever
-// they had.
+// TestManyEndsAtOnceAreNoRequestsDoing plays a loss of power, which ends replicas under
+// whatever they had.
 func TestManyEndsAtOnceAreNoRequestsDoing(t *testing.T) {
 	var table quarantine.Table
 	taken := 0
