TestListSaysLeaving waits until the entry knows the list, not for a burst that misses the target

Traced: it failed 0.48 s after the cluster's start, and entries read the list of boxes each second, so the entry could not know it yet; the first burst had missed the target by chance, which the test took for knowledge. It now asks the entry's own view of the list and then demands what it did: a burst of none, and ten more of none.

--- a/internal/core/dev/day_test.go
+++ b/internal/core/dev/day_test.go
@@ -140,6 +140,10 @@
 		}
 		return dispatched() - before
 	}
+	// A burst that misses the target by chance does not show that the entry knows.
+	for !p.Entries[0].Node.BoxLeaving(leaving.Listen) {
+		time.Sleep(10 * time.Millisecond)
+	}
 	for range 100 {
 		if burst() == 0 {
 			break
