--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -13,7 +13,7 @@
 const (
 	// enough is under how many ended replicas a request is kept from all others. One may
 	// end for any reason under a dozen requests; that the next one that gets the same
-	// request ends too is chance once in some hundred ends. Each more costs all callers
+	// request ends too is seldom chance. Each more costs all callers
 	// of a lock-step group the seconds until it opens again.
 	enough = 2
 	// mostLives bounds the lives that are kept of an entry; those with the least marks
--- a/internal/core/ranks/lead_test.go
+++ b/internal/core/ranks/lead_test.go
@@ -18,8 +18,8 @@
 		span, part = 10 * time.Second, 500 * time.Millisecond
 		seeds      = 6
 		share      = 0.08
-		// mostStood is how long the group may stand in all: 1.3 to 2.1 s over ten runs of
-		// this test, 6.4 s and more with a lead that forgets sooner.
+		// mostStood is how long the group may stand in all: 1.2 to 1.5 s in five runs
+		// of this test, 6.4 s with a lead that forgets sooner.
 		mostStood = 3500 * time.Millisecond
 	)
 	shape := planner.Shape{Layers: 3, Experts: 96, Ranks: 24, Slots: 6}
