Sight: what a replica's answer says of itself is read, told and counted

An attempt's line tells rest_asked_ms and leaving, graniteknot_replicas_said_total counts both words. Before, a refusal for want of a place could not be told from a wish for rest. Nothing is decided by it yet.

--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return r.failed(err)
 	}
+	r.heed(l, answer)
 	if r.job.Route.Kind != catalog.KindStream || answer.StatusCode != http.StatusOK {
 		next, verdict, why, ok := r.whole(l, answer)
 		whole = ok
--- a/internal/core/forward/dialect.go
+++ b/internal/core/forward/dialect.go
@@ -30,6 +30,11 @@
 	Elsewhere bool
 	// Again is when to come back; 0 when the answer does not say.
 	Again time.Duration
+	// Rest is for how long the replica wants nothing from this process, from the answer
+	// on; 0 when it does not say.
+	Rest time.Duration
+	// Leaving is the replica's word that it will end as planned.
+	Leaving bool
 }
 
 // Dialect writes requests to replicas and reads their answers' marks.
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -87,6 +87,8 @@
 	result Result
 	// broke tells that the last attempt's connection broke under the request.
 	broke bool
+	// said is what the last attempt's answer said of its replica.
+	said Marks
 	// identity is the request's key once it was needed.
 	identity *quarantine.Key
 }
@@ -129,7 +131,7 @@
 			return
 		}
 		r.result.Attempts++
-		r.broke = false
+		r.broke, r.said = false, Marks{}
 		r.result.Replica = lease.Replica.Life().String()
 		next, verdict, why := r.attempt(lease)
 		lease.End(verdict, f.Clock.Now())
@@ -275,6 +277,7 @@
 		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Float64("skew", in.Skew), slog.Bool("trial", in.Trial),
 		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
 	}
+	fields = append(fields, said(&r.said)...)
 	if why == ReasonNone {
 		r.f.Log.Info("attempt", fields...)
 		return
--- /dev/null
+++ b/internal/core/forward/word.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"log/slog"
+	"net/http"
+
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/meter"
+)
+
+// heed takes in what an answer says of its replica.
+func (r *run) heed(l *fleet.Lease, answer *http.Response) {
+	r.said = r.f.Dialect.Marks(answer.StatusCode, answer.Header)
+	if r.said.Rest > 0 {
+		r.countWord(l, "rest")
+	}
+	if r.said.Leaving {
+		r.countWord(l, "leaving")
+	}
+}
+
+// countWord counts what a replica said of itself.
+func (r *run) countWord(l *fleet.Lease, word string) {
+	r.f.Meter.Count("graniteknot_replicas_said_total",
+		meter.Label{Name: "service", Value: string(l.Replica.Service)}, meter.Label{Name: "word", Value: word})
+}
+
+// said are the fields of an attempt's line for what the replica said of itself.
+func said(m *Marks) []slog.Attr {
+	var out []slog.Attr
+	if m.Rest > 0 {
+		out = append(out, eventlog.Milliseconds("rest_asked", m.Rest))
+	}
+	if m.Leaving {
+		out = append(out, slog.Bool("leaving", true))
+	}
+	return out
+}
