What a replica says of itself binds this process, under its life and for as long as was said

Cause: a word that a replica gives with an answer was kept with the request it came with (Result.Again), and Server-Leaving was not read. Replicas that refuse all have no requests, so they were the first choice. Change: fleet.word, kept under the life beside its record, so that it outlives a record that vanishes and comes again (that a record says a life leaves was forgotten with the record too); looked at in each choice, again once a connection is there, and for those who wait. After a rest one request finds out whether others may follow. All rest: refused at once, with the time until the first has rested, unless that is in time. Callers refused by some replicas are no longer told those replicas' rest: others have room. Sidecars give a target that turns their one question away its rest.

--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -89,6 +89,9 @@
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
 	l.target.heard = now
+	if l.target.word != nil {
+		l.target.word.unproved = false
+	}
 	if l.begun {
 		return
 	}
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -32,7 +32,7 @@
 	defer t.mu.Unlock()
 	best := t.best(q, func(x *target) bool { return x.usable(q.Now) && !slices.Contains(q.Tried, x.replica.Life()) })
 	if best == nil {
-		best = t.best(q, func(x *target) bool { return !x.ending() && !slices.Contains(q.Tried, x.replica.Life()) })
+		best = t.best(q, func(x *target) bool { return !x.barred(q.Now) && !slices.Contains(q.Tried, x.replica.Life()) })
 	}
 	if best == nil {
 		return nil
@@ -65,7 +65,7 @@
 
 func (t *Table) lease(x *target, q *Query) *Lease {
 	l := &Lease{Replica: x.replica, Inputs: t.inputs(x, q), table: t, target: x, size: q.Size, sent: q.Now, engine: q.Service.Engine, gap: q.Gap}
-	if x.failures >= patience {
+	if x.failures >= patience || x.word != nil && x.word.unproved {
 		l.trial, x.trial = true, true
 	}
 	if x.cutOff {
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -38,7 +38,7 @@
 type waiter struct {
 	query *Query
 	wait  Waiting
-	// ready gets the lease; it has room for one.
+	// ready gets the lease, nil where waiting is in vain; it has room for one.
 	ready chan *Lease
 }
 
@@ -73,6 +73,9 @@
 	if t.best(q, func(x *target) bool { return !x.ending() }) == nil {
 		return nil, nil
 	}
+	if rest := t.rested(q); rest > 0 && q.Now.Add(rest).After(w.Last) {
+		return nil, nil
+	}
 	if len(t.queues[q.Service.Name]) == 0 {
 		if best := t.roomy(q, false); best != nil {
 			return t.lease(best, q), nil
--- a/internal/core/fleet/silence.go
+++ b/internal/core/fleet/silence.go
@@ -31,7 +31,8 @@
 
 // Watch tells which replicas fell silent, or were heard again, since the last
 // call, and returns the own requests at silent ones, and at lives that have ended,
-// that may be moved. Call Move on these.
+// that may be moved. Call Move on these. Those who wait for a place get one whose
+// replica has rested meanwhile, or are told that none will in time.
 func (t *Table) Watch(now time.Time) (changed []Silence, stuck []*Lease) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -55,6 +56,7 @@
 			stuck = append(stuck, g.crippling(now)...)
 		}
 	}
+	t.wake(now)
 	return changed, stuck
 }
 
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -49,6 +49,8 @@
 	rates map[graniteknot.Service]*rate
 	// intakes are what is seen of own requests to engines, by service.
 	intakes map[graniteknot.Service]*intake
+	// words are what lives said to this process, also of those whose record is gone.
+	words map[catalog.Life]*word
 	// stranded are own requests at lives that have ended, until the next look.
 	stranded []*Lease
 	// peers is how many gateways share the replicas; 0 counts as one.
@@ -82,6 +84,8 @@
 	}
 	if old == nil {
 		added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
+		t.recall(added)
+		t.heedRecord(added, now)
 		t.targets[r.ID] = added
 		t.services[r.Service] = append(t.services[r.Service], added)
 		t.addresses[r.Address] = append(t.addresses[r.Address], added)
@@ -105,6 +109,7 @@
 	}
 	old.replica = r
 	old.lapsed = time.Time{}
+	t.heedRecord(old, now)
 	if old.replaced || old.outlived {
 		t.settle(r.Address)
 	}
@@ -264,11 +269,13 @@
 }
 
 func (t *target) usable(now time.Time) bool {
-	return !t.ending() && !t.paused(now)
+	return !t.barred(now) && !t.paused(now) && !t.onTrial()
 }
 
 // ending tells whether a replica leaves or has ended.
-func (t *target) ending() bool { return t.replica.Draining || t.replaced || t.outlived }
+func (t *target) ending() bool {
+	return t.replica.Draining || t.replaced || t.outlived || t.word != nil && t.word.leaving
+}
 
 // paused tells whether a replica that failed is left alone for now.
 func (t *target) paused(now time.Time) bool {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -62,6 +62,9 @@
 	// load is the last report; its Taken is zero before the first.
 	load Load
 
+	// word is what its life said to this process; nil for nothing.
+	word *word
+
 	// failures counts failures in a row; until is when it is tried again.
 	failures int
 	until    time.Time
--- /dev/null
+++ b/internal/core/fleet/word.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/catalog"
+)
+
+// mostWords bounds the lives whose words are remembered; beyond it those go first that bind
+// no more, and then those that were said first.
+const mostWords = 4096
+
+// Word is what an answer says of the replica that gave it.
+type Word struct {
+	// Rest is for how long the replica wants nothing from this process; 0 for nothing said.
+	Rest time.Duration
+	// Leaving tells that it will end as planned.
+	Leaving bool
+}
+
+// word is what a life of a replica said to this process, in answers or in its record. It is
+// about the life, so it is kept under it, beside the record: a record may vanish and come
+// again, while the replica still rests or leaves. Kept with the request that it came with,
+// a word on rest bound nobody else: replicas that turn all away have no requests, are
+// chosen first for that, and got 176 of 597 attempts in 6 s, none of which ran.
+type word struct {
+	// leaving lives never take anything new.
+	leaving bool
+	// rest is until when the replica wants nothing; zero for never.
+	rest time.Time
+	// unproved tells that no answer has come since the replica last asked for rest.
+	unproved bool
+	// said is when something was last said.
+	said time.Time
+}
+
+// Says takes in what an answer says of its replica. It returns whether anything is new.
+func (l *Lease) Says(w Word, now time.Time) bool {
+	if w == (Word{}) {
+		return false
+	}
+	t := l.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.wordOf(l.target, now)
+	before := *known
+	known.leaving = known.leaving || w.Leaving
+	if w.Rest > 0 {
+		known.unproved = true
+		// A shorter word that comes later, as answers of several requests do, ends no
+		// longer one.
+		if until := now.Add(w.Rest); until.After(known.rest) {
+			known.rest = until
+		}
+	}
+	return known.leaving != before.leaving || known.unproved != before.unproved || !before.rest.After(now) && w.Rest > 0
+}
+
+// Allowed tells whether the replica may get a request now, which may have changed since it
+// was chosen.
+func (l *Lease) Allowed(now time.Time) bool {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	return !l.target.barred(now)
+}
+
+// wordOf returns what a target said, to be added to; called with the lock held.
+func (t *Table) wordOf(x *target, now time.Time) *word {
+	if x.word == nil {
+		t.pruneWords(now)
+		x.word = &word{}
+		t.words[x.replica.Life()] = x.word
+	}
+	x.word.said = now
+	return x.word
+}
+
+// recall gives a target that is registered what its life said before.
+func (t *Table) recall(x *target) { x.word = t.words[x.replica.Life()] }
+
+// heedRecord takes a record's word that its life leaves for that life's own, so that it
+// outlives the record; called with the lock held.
+func (t *Table) heedRecord(x *target, now time.Time) {
+	if x.replica.Draining {
+		t.wordOf(x, now).leaving = true
+	}
+}
+
+// pruneWords keeps the words bounded; called with the lock held.
+func (t *Table) pruneWords(now time.Time) {
+	if t.words == nil {
+		t.words = map[catalog.Life]*word{}
+	}
+	if len(t.words) < mostWords {
+		return
+	}
+	var first catalog.Life
+	var oldest *word
+	for life, w := range t.words {
+		registered := t.targets[life.ID] != nil && t.targets[life.ID].word == w
+		if !registered && !w.leaving && !w.rest.After(now) {
+			delete(t.words, life)
+			continue
+		}
+		if oldest == nil || w.said.Before(oldest.said) {
+			first, oldest = life, w
+		}
+	}
+	if len(t.words) >= mostWords {
+		delete(t.words, first)
+	}
+}
+
+// Words counts the lives whose words are remembered.
+func (t *Table) Words() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.words)
+}
+
+// rests tells whether the replica wants nothing from this process now.
+func (t *target) rests(now time.Time) bool { return t.word != nil && now.Before(t.word.rest) }
+
+// barred tells whether the replica must get nothing now, whatever else there is.
+func (t *target) barred(now time.Time) bool { return t.ending() || t.rests(now) }
+
+// onTrial tells whether one request finds out whether the replica takes any again after its
+// rest: all who wait would else be sent there at once, and be turned away once more.
+func (t *target) onTrial() bool { return t.word != nil && t.word.unproved && t.trial }
+
+// wake serves those who wait for replicas that may have rested meanwhile: nothing else tells
+// when a rest is over. Called with the lock held.
+func (t *Table) wake(now time.Time) {
+	for s := range t.queues {
+		rested := slices.ContainsFunc(t.services[s], func(x *target) bool { return x.word != nil && x.word.unproved })
+		if rested {
+			t.dismiss(s, now)
+			t.serve(s, now)
+		}
+	}
+}
+
+// dismiss ends the waits of those who would only be told later that no replica takes
+// anything before they give up; called with the lock held.
+func (t *Table) dismiss(s graniteknot.Service, now time.Time) {
+	if len(t.queues[s]) == 0 {
+		return
+	}
+	rest := t.rested(&Query{Service: t.queues[s][0].query.Service, Now: now})
+	if rest == 0 {
+		return
+	}
+	t.queues[s] = slices.DeleteFunc(t.queues[s], func(x *waiter) bool {
+		hopeless := now.Add(rest).After(x.wait.Last)
+		if hopeless {
+			x.ready <- nil
+		}
+		return hopeless
+	})
+}
+
+// Rested returns in how long the first of a service's replicas will have rested; 0 where one
+// may be chosen before, or none is left.
+func (t *Table) Rested(q *Query) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rested(q)
+}
+
+// rested is Rested; called with the lock held.
+func (t *Table) rested(q *Query) time.Duration {
+	var first time.Time
+	for _, x := range t.services[q.Service.Name] {
+		switch {
+		case x.ending():
+		case !x.rests(q.Now):
+			return 0
+		case first.IsZero() || x.word.rest.Before(first):
+			first = x.word.rest
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	return first.Sub(q.Now)
+}
--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -33,6 +33,11 @@
 		r.giveUp(why)
 		return stepDone, fleet.VerdictNone, why
 	}
+	if !l.Allowed(f.Clock.Now()) {
+		f.Pool.Put(l.Replica.Address, conn)
+		r.withheld = true
+		return stepAgain, fleet.VerdictNone, ReasonResting
+	}
 	stop := context.AfterFunc(r.ctx, conn.Abort)
 	r.move = &mover{conn: conn}
 	if r.movable() {
@@ -113,7 +118,7 @@
 	marks := r.f.Dialect.Marks(answer.StatusCode, answer.Header)
 	if marks.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxBody))
-		return stepAgain, r.refusal(&marks), ReasonRefused, err == nil
+		return stepAgain, refusal(&marks), ReasonRefused, err == nil
 	}
 	r.mayHaveRun = true
 	l.Heard(r.f.Clock.Now())
@@ -147,8 +152,7 @@
 	return false
 }
 
-func (r *run) refusal(m *Marks) fleet.Verdict {
-	r.result.Again = m.Again
+func refusal(m *Marks) fleet.Verdict {
 	if m.Elsewhere {
 		return fleet.VerdictGone
 	}
--- a/internal/core/forward/dialect.go
+++ b/internal/core/forward/dialect.go
@@ -28,8 +28,6 @@
 	NotRun bool
 	// Elsewhere tells that another replica has the address; it implies NotRun.
 	Elsewhere bool
-	// Again is when to come back; 0 when the answer does not say.
-	Again time.Duration
 	// Rest is for how long the replica wants nothing from this process, from the answer
 	// on; 0 when it does not say.
 	Rest time.Duration
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -87,6 +87,9 @@
 	result Result
 	// broke tells that the last attempt's connection broke under the request.
 	broke bool
+	// withheld tells that nothing was sent, since the replica asked for that while the
+	// request waited for a connection.
+	withheld bool
 	// said is what the last attempt's answer said of its replica.
 	said Marks
 	// identity is the request's key once it was needed.
@@ -121,7 +124,6 @@
 		}
 		lease := r.acquire()
 		if lease == nil {
-			r.result.Again = max(r.result.Again, f.Fleet.Drained(r.query()))
 			r.giveUp(r.noLease())
 			return
 		}
@@ -131,13 +133,17 @@
 			return
 		}
 		r.result.Attempts++
-		r.broke, r.said = false, Marks{}
+		r.broke, r.withheld, r.said = false, false, Marks{}
 		r.result.Replica = lease.Replica.Life().String()
 		next, verdict, why := r.attempt(lease)
 		lease.End(verdict, f.Clock.Now())
 		if r.broke {
 			r.lost(lease)
 		}
+		if r.withheld {
+			r.result.Attempts--
+			continue
+		}
 		r.logAttempt(lease, verdict, why)
 		if next == stepDone {
 			return
@@ -177,6 +183,9 @@
 	if r.quarantined() {
 		return ReasonQuarantined
 	}
+	if r.f.Fleet.Rested(r.query()) > 0 {
+		return ReasonResting
+	}
 	if all, _ := r.f.Fleet.Count(r.job.Service.Name, r.f.Clock.Now()); all == 0 {
 		return ReasonNoReplica
 	}
@@ -204,7 +213,7 @@
 	if why, ok := r.maySend(); !ok {
 		return why, false
 	}
-	if r.result.Attempts == 0 {
+	if r.result.Attempts == 0 || r.withheld {
 		return ReasonNone, true
 	}
 	if r.result.Attempts >= r.job.Route.Attempts {
@@ -240,7 +249,21 @@
 	r.result.Outcome = graniteknot.OutcomeUnknown
 	if !r.mayHaveRun {
 		r.result.Outcome = graniteknot.OutcomeNotRun
+		r.result.Again = r.again(why)
+	}
+}
+
+// again is in how long the caller of a request that did not run may come back: as soon as a
+// replica will have rested that takes requests, where all rest, and those who wait will have
+// been served. What one replica asked for says nothing of the others: 34 callers that two
+// replicas had turned away came back 2.6 s later, while eight others had room.
+func (r *run) again(why Reason) time.Duration {
+	q := r.query()
+	rested := r.f.Fleet.Rested(q)
+	if why == ReasonBusy {
+		return max(rested, r.f.Fleet.Drained(q))
 	}
+	return rested
 }
 
 // give passes a whole answer on.
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -34,6 +34,8 @@
 	ReasonSilent Reason = "replica-silent"
 	// ReasonQuarantined is a request that ends the replicas that run it.
 	ReasonQuarantined Reason = "ends-replicas"
+	// ReasonResting are replicas that all asked this process for rest.
+	ReasonResting Reason = "replicas-rest"
 	// ReasonBudget is an empty retry budget.
 	ReasonBudget Reason = "retry-budget"
 )
--- a/internal/core/forward/word.go
+++ b/internal/core/forward/word.go
@@ -9,9 +9,17 @@
 	"graniteknot.org/go/internal/core/meter"
 )
 
-// heed takes in what an answer says of its replica.
+// heed takes in what an answer says of its replica, from its head on and whatever the answer
+// is: the word is about the replica, and binds all other requests too.
 func (r *run) heed(l *fleet.Lease, answer *http.Response) {
 	r.said = r.f.Dialect.Marks(answer.StatusCode, answer.Header)
+	if r.said.Elsewhere {
+		// It is another replica's.
+		return
+	}
+	if l.Says(fleet.Word{Rest: r.said.Rest, Leaving: r.said.Leaving}, r.f.Clock.Now()) {
+		r.f.Log.Info("replica said", append(said(&r.said), slog.String("replica", l.Replica.Life().String()))...)
+	}
 	if r.said.Rest > 0 {
 		r.countWord(l, "rest")
 	}
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -172,7 +172,11 @@
 	if r.Reason == forward.ReasonQuarantined {
 		return quarantinedAgain
 	}
-	return max(r.Again, refusedAgain)
+	if r.Again > 0 {
+		// Who comes to replicas that have just rested comes spread over a while.
+		return time.Duration((1 + 0.2*rand.Float64()) * float64(max(r.Again, refusedAgain)))
+	}
+	return refusedAgain
 }
 
 // log writes the line that closes a request's story.
--- a/internal/core/sidecar/digest_test.go
+++ b/internal/core/sidecar/digest_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
 	"testing"
+	"time"
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
@@ -32,6 +34,8 @@
 	born  graniteknot.Born
 	open  bool
 	asked int
+	// rest is what it asks for when it turns a question away; 0 where it answers.
+	rest time.Duration
 }
 
 func (r *livingRank) Report(context.Context) (held.Report, error) {
@@ -40,11 +44,14 @@
 	return held.Report{Group: "g", Size: 4, Born: r.born, State: held.State{Open: r.open}}, nil
 }
 
-func (r *livingRank) ID(context.Context) (catalog.ReplicaID, error) {
+func (r *livingRank) ID(context.Context) (catalog.ReplicaID, time.Duration, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.asked++
-	return r.id, nil
+	if r.rest > 0 {
+		return "", r.rest, errors.New("turned away")
+	}
+	return r.id, 0, nil
 }
 
 func (r *livingRank) questions() int {
@@ -158,6 +165,19 @@
 	}
 }
 
+// TestTargetThatTurnsQuestionsAwayRests asks a target that does so once, and not again for as
+// long as it wants: it took a question each 0.5 s before.
+func TestTargetThatTurnsQuestionsAwayRests(t *testing.T) {
+	rank := &livingRank{id: "x", open: true, rest: 1500 * time.Millisecond}
+	d := told(t, rank)
+	eventually(t, "it is asked", func() bool { return rank.questions() == 1 })
+	began := time.Now()
+	eventually(t, "it is asked again", func() bool { d.greet(); return rank.questions() == 2 })
+	if took := time.Since(began); took < time.Second {
+		t.Errorf("asked again after %v", took)
+	}
+}
+
 // TestNextLifeOfTheSameIDIsTold by its start, though neither its id nor its group shows it.
 func TestNextLifeOfTheSameIDIsTold(t *testing.T) {
 	rank := &livingRank{id: "x", born: 1000, open: true}
--- a/internal/core/sidecar/life.go
+++ b/internal/core/sidecar/life.go
@@ -7,11 +7,14 @@
 
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/core/eventlog"
 )
 
 // Named is a target that tells its id. Ranks may implement it.
 type Named interface {
-	ID(ctx context.Context) (catalog.ReplicaID, error)
+	// ID returns the id, or after an error for how long the target wants not to be asked
+	// again; 0 where it does not say.
+	ID(ctx context.Context) (id catalog.ReplicaID, rest time.Duration, err error)
 }
 
 // lifeRetry is the time between two questions to a target that did not tell its id.
@@ -23,6 +26,8 @@
 type lifeWatch struct {
 	mark  catalog.Mark
 	asked time.Time
+	// rested is until when a target that turned the question away wants none.
+	rested time.Time
 	// last is the report before.
 	last held.Report
 }
@@ -37,13 +42,13 @@
 	}
 	w.last = *report
 	named, tells := s.own.(Named)
-	if !tells || w.mark != 0 || now.Sub(w.asked) < lifeRetry {
+	if !tells || w.mark != 0 || now.Sub(w.asked) < lifeRetry || now.Before(w.rested) {
 		return w.mark
 	}
-	w.asked = now
-	id, err := named.ID(ctx)
+	id, rest, err := named.ID(ctx)
+	w.asked, w.rested = now, now.Add(rest)
 	if err != nil {
-		s.Log.Info("target life", slog.String("error", err.Error()))
+		s.Log.Info("target life", slog.String("error", err.Error()), eventlog.Milliseconds("rest_asked", rest))
 		return 0
 	}
 	life := catalog.Life{ID: id, Born: report.Born}
