--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -44,6 +44,7 @@
 			out = append(out, Finding{"nothing runs unasked", id, "no caller sent it"})
 		}
 	}
+	out = append(out, checkWords(w, calls)...)
 	return append(out, checkDeadly(ran)...)
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,6 +41,8 @@
 	// blind is when the process, cut off from the store, can read it again for
 	// sure.
 	blind time.Time
+	// ended are when it was told to end.
+	ended []time.Time
 	// frozen tells that the process is stopped by a signal.
 	frozen bool
 }
@@ -124,6 +126,7 @@
 	if rough > 0 {
 		p.roughUntil(time.Now().Add(rough))
 	}
+	p.noteEnd(s)
 	p.frozen = s == syscall.SIGSTOP || p.frozen && s != syscall.SIGCONT
 	if p.command != nil && p.command.Process != nil {
 		// One that has just ended is started again anyway.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,8 @@
 	// Ends has one request come that ends whoever begins it, and another writer put odd
 	// records.
 	Ends bool
+	// Words has replicas ask for rest, and say in their answers that they leave.
+	Words bool
 	// Say is told each fault; nil for nobody.
 	Say func(string)
 }
@@ -104,6 +106,9 @@
 		load.Go(func(context.Context) { others.runDeadly(calling, gateways, random.IntN) })
 		load.Go(func(context.Context) { w.scribble(calling, rand.New(rand.NewPCG(o.Seed, endsStream+1)).IntN) })
 	}
+	if o.Words {
+		load.Go(func(context.Context) { w.moods(calling, rand.New(rand.NewPCG(o.Seed, wordsStream)).IntN) })
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
 	var findings []Finding
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,12 +45,12 @@
 	return n
 }
 
-func play(t *testing.T, program string, seed uint64, faults int, span time.Duration, ends bool) {
+func play(t *testing.T, program string, seed uint64, faults int, span time.Duration, ends, words bool) {
 	t.Helper()
 	var story []string
 	dir := t.TempDir()
 	result, err := soak.Run(context.Background(), soak.Options{
-		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span, Ends: ends,
+		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span, Ends: ends, Words: words,
 		Say: func(line string) { story = append(story, line) },
 	})
 	if err != nil {
@@ -80,7 +80,8 @@
 
 // TestSoak plays a short seed, and those that ever failed. GRANITEKNOT_SOAK is a
 // number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, each second one
-// with a request that ends replicas and odd records.
+// with a request that ends replicas and odd records, two in three with replicas that ask for rest
+// or say that they leave.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are not built with the race detector")
@@ -89,13 +90,14 @@
 	if count, _ := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_SEEDS")); count > 0 {
 		first, _ := strconv.ParseUint(os.Getenv("GRANITEKNOT_SOAK_SEED"), 10, 64)
 		for i := range uint64(count) {
-			play(t, program, first+i, 14, 20*time.Second, i%2 == 1)
+			play(t, program, first+i, 14, 20*time.Second, i%2 == 1, i%3 != 0)
 		}
 		return
 	}
-	play(t, program, 1, 8, 8*time.Second, false)
-	play(t, program, 2, 6, 16*time.Second, true)
+	play(t, program, 1, 8, 8*time.Second, false, false)
+	play(t, program, 2, 6, 16*time.Second, true, false)
+	play(t, program, 3, 4, 12*time.Second, false, true)
 	for _, seed := range failed {
-		play(t, program, seed, 14, 20*time.Second, false)
+		play(t, program, seed, 14, 20*time.Second, false, false)
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -42,6 +42,8 @@
 	keys []*key
 	// lives brings replicas back that have ended.
 	lives group.Group
+	// words are what replicas said in their answers.
+	words []word
 	// probes are the calls that found out whether gateways serve.
 	probes []*call
 }
