--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -54,11 +54,17 @@
 	// Failed notes a failed call; nil for nothing.
 	Failed func(err error)
 
+	// Renewed notes that the store has come back from an older copy, before its newest
+	// records are taken; nil for nothing.
+	Renewed func(graniteknot.Era)
+
 	// begun tells that the newest records were read once; synced that records are
 	// read on from there.
 	begun, synced bool
 	from          graniteknot.Position
-	retry         time.Duration
+	// read tells that from is where a read of this process ended.
+	read  bool
+	retry time.Duration
 	// revalidated tells that the last look did not ask the store.
 	revalidated bool
 }
@@ -110,12 +116,15 @@
 			return f.note(ctx, began, err)
 		}
 		f.good()
-		f.begun, f.synced, f.from = true, true, page.End
+		if f.read && page.End.Era() > f.from.Era() {
+			f.renewed(page.End.Era())
+		}
+		f.begun, f.synced, f.read, f.from = true, true, true, page.End
 		f.Newest(page.Records, began)
 		return nil
 	}
 	page, err := f.Store.Read(ctx, f.Topic, f.from, f.wait())
-	if errors.Is(err, graniteknot.ErrTrimmed) {
+	if errors.Is(err, graniteknot.ErrTrimmed) || errors.Is(err, graniteknot.ErrEra) {
 		f.good()
 		f.synced = false
 		return nil
@@ -127,7 +136,7 @@
 	if page.Through > f.from {
 		f.from = page.Through
 	} else if page.End < f.from {
-		// The topic was begun anew.
+		// The topic was begun anew, by a store that tells no eras.
 		f.synced = false
 		return nil
 	}
@@ -135,6 +144,15 @@
 	return nil
 }
 
+// renewed acts on the store's return from an older copy. What is missing there may be
+// written again soon, as after an outage.
+func (f *Follower) renewed(era graniteknot.Era) {
+	f.Health.Renewed(f.Topic, f.from, era, f.Clock.Now())
+	if f.Renewed != nil {
+		f.Renewed(era)
+	}
+}
+
 // wait is how long a read waits for a record. After a failed call it does not
 // wait: a call to a store that is away is given up after its own time and the
 // wait, and one that began just before the store's return would be missing for
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/eventlog"
 )
 
@@ -19,6 +20,8 @@
 	down time.Time
 	// back is when the store answered again after the last outage.
 	back time.Time
+	// renewals counts topics found in a new era.
+	renewals uint64
 	// answered is when the store answered last.
 	answered time.Time
 }
@@ -48,6 +51,24 @@
 	h.Log.Warn("store lost", slog.String("error", err.Error()))
 }
 
+// Renewed notes that a topic was found in a new era of the store, which counts as its return
+// from an outage: records that the copy has not may be written again. The position is where
+// the former era was read to.
+func (h *Health) Renewed(t graniteknot.Topic, read graniteknot.Position, era graniteknot.Era, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.back = now
+	h.renewals++
+	h.Log.Warn("store renewed", slog.String("topic", string(t)), slog.Int64("era", int64(era)), slog.String("read_to", read.String()))
+}
+
+// Renewals counts how often a topic was found in a new era of the store.
+func (h *Health) Renewals() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renewals
+}
+
 // Doubtful tells whether the store is away, or was within the given time.
 func (h *Health) Doubtful(now time.Time, within time.Duration) bool {
 	h.mu.Lock()
--- a/internal/standin/keyed/store.go
+++ b/internal/standin/keyed/store.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +34,8 @@
 	mu     sync.Mutex
 	topics map[graniteknot.Topic]*topic
 	fault  Fault
+	// era rises each time the store comes back from a copy.
+	era graniteknot.Era
 	// calls counts the calls, refused ones included.
 	calls int
 }
@@ -72,7 +76,48 @@
 func (s *Store) Put(t graniteknot.Topic, key string, value []byte) graniteknot.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.topic(t).add(graniteknot.KeyedRecord{Key: key, Value: value})
+	return s.topic(t).add(graniteknot.KeyedRecord{Key: key, Value: value}).In(s.era)
+}
+
+// Copy is what a store held at a time.
+type Copy struct{ topics map[graniteknot.Topic]*topic }
+
+// Copy takes a copy of all topics.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &Copy{topics: map[graniteknot.Topic]*topic{}}
+	for name, t := range s.topics {
+		c.topics[name] = t.copied()
+	}
+	return c
+}
+
+func (t *topic) copied() *topic {
+	return &topic{records: slices.Clone(t.records), start: t.start, newest: maps.Clone(t.newest), added: make(chan struct{})}
+}
+
+// Restore puts a copy in the place of all that the store holds, in a new era: what was
+// written since is gone, and its positions come again.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	former := s.topics
+	s.topics = map[graniteknot.Topic]*topic{}
+	for name, t := range c.topics {
+		s.topics[name] = t.copied()
+	}
+	for _, t := range former {
+		close(t.added)
+	}
+}
+
+// Era returns how often the store came back from a copy; 0 for never.
+func (s *Store) Era() graniteknot.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *Store) topic(t graniteknot.Topic) *topic {
@@ -125,8 +170,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.topic(t)
-	page := graniteknot.KeyedPage{End: x.end()}
+	page := graniteknot.KeyedPage{End: x.end().In(s.era)}
 	for _, r := range x.newest {
+		r.At = r.At.In(s.era)
 		page.Records = append(page.Records, r)
 	}
 	return page, nil
@@ -176,13 +222,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.topic(t)
-	page := graniteknot.KeyedPage{End: x.end(), Through: from}
-	if from < x.start {
-		return page, nil, fmt.Errorf("read from %d: %w", from, graniteknot.ErrTrimmed)
+	page := graniteknot.KeyedPage{End: x.end().In(s.era), Through: from}
+	if from.Era() != s.era {
+		return page, nil, fmt.Errorf("read from %v: %w", from, graniteknot.ErrEra)
+	}
+	from = from.In(0)
+	if from < x.start || from > x.end() {
+		return page, nil, fmt.Errorf("read from %v: %w", from, graniteknot.ErrTrimmed)
 	}
 	if from < x.end() {
-		page.Records = append(page.Records, x.records[from-x.start:]...)
-		page.Through = x.end()
+		for _, r := range x.records[from-x.start:] {
+			r.At = r.At.In(s.era)
+			page.Records = append(page.Records, r)
+		}
+		page.Through = page.End
 	}
 	return page, x.added, nil
 }
@@ -206,11 +259,11 @@
 	}
 	s.mu.Lock()
 	x := s.topic(t)
-	if end >= 0 && end != x.end() {
+	if end >= 0 && end != x.end().In(s.era) {
 		s.mu.Unlock()
-		return 0, fmt.Errorf("append at %d: %w", end, graniteknot.ErrMoved)
+		return 0, fmt.Errorf("append at %v: %w", end, graniteknot.ErrMoved)
 	}
-	at := x.add(r)
+	at := x.add(r).In(s.era)
 	s.mu.Unlock()
 	if fault == FaultLose {
 		<-ctx.Done()
--- a/keyed.go
+++ b/keyed.go
@@ -24,9 +24,6 @@
 	TopicKeepers Topic = "graniteknot-keepers"
 )
 
-// Position counts the records of a topic from 0.
-type Position int64
-
 // KeyedRecord is one record of a topic.
 type KeyedRecord struct {
 	Key string
@@ -49,11 +46,12 @@
 
 // KeyedStore is the platform's store of keyed records.
 type KeyedStore interface {
-	// Newest returns the newest record of each key that is not gone. Reading on
-	// from End misses nothing.
+	// Newest returns the newest record of each key that is not gone, all of one era.
+	// Reading on from End misses nothing.
 	Newest(ctx context.Context, t Topic) (KeyedPage, error)
 	// Read returns the records from a position on; it waits at most the given
-	// time for the first one. The error wraps ErrTrimmed when they are gone.
+	// time for the first one. The error wraps ErrTrimmed when they are gone, and ErrEra
+	// when the position's era has ended.
 	Read(ctx context.Context, t Topic, from Position, wait time.Duration) (KeyedPage, error)
 	// Append adds a record. Unless the error wraps ErrNotDone, the record may
 	// have been added, or may still be.
@@ -69,6 +67,9 @@
 	ErrTrimmed = errors.New("records are not kept any more")
 	// ErrNotDone marks a call of which nothing was done.
 	ErrNotDone = errors.New("nothing was done")
+	// ErrEra marks a read from a position whose era has ended: the store came back from
+	// a copy, and other records stand there now.
+	ErrEra = errors.New("the store has begun another era")
 	// ErrMoved marks an append at a position that is not the end any more.
 	ErrMoved = errors.New("the topic ends elsewhere")
 )
