A store that comes back from an older copy takes nothing back: settings, keys, replicas, own records, fences

Cause: what processes know was ordered by offsets, which a drill gives out again, and taken from the store as the only word. Change: settings in force stay, and a read of a store that has not shown them again in its era proves nothing of their age (catalog.Holder); a box whose store shows less than others have takes theirs after two looks. Own records (members, quarantine) are written again, each by its process, for those that do not read by gateways a second later, spread. A life whose record went is known by its heartbeats, so that a copy's record of it is not one. Fences are numbered by era and offset. A new era counts as a return from an outage. The soak has drills, on a stream of its own.

--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -13,6 +13,37 @@
 	// proved is the start of the last read that showed the tree to be the
 	// newest; zero before the first.
 	proved time.Time
+	// shown is the highest version that the store has shown since it last came back from
+	// an older copy.
+	shown Version
+}
+
+// Renew notes that the store has come back from an older copy: what it shows proves nothing
+// until it has shown the version in force, since newer ones may be lost with it. In force it
+// stays.
+func (h *Holder) Renew() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shown = 0
+}
+
+// Show notes a version that the store has.
+func (h *Holder) Show(v Version) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shown = max(h.shown, v)
+}
+
+// Unchanged notes a read of the store, begun at the given time, that brought nothing new. It
+// returns false where that proves nothing.
+func (h *Holder) Unchanged(readBegan time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tree == nil || h.shown < h.tree.Version {
+		return false
+	}
+	h.prove(readBegan)
+	return true
 }
 
 // Offer takes a tree that a read begun at the given time returned.
--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -29,6 +29,8 @@
 	Rank  graniteknot.Rank
 	// GroupSize is how many ranks the group has.
 	GroupSize int
+	// Beat counts the record's heartbeats in this life; 0 where it tells none.
+	Beat int64
 	// Written is where the record stands in the store.
 	Written graniteknot.Position
 }
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -74,6 +74,9 @@
 		t.services = map[graniteknot.Service][]*target{}
 		t.addresses = map[graniteknot.Address][]*target{}
 	}
+	if t.over(&r) {
+		return false
+	}
 	old := t.targets[r.ID]
 	if old != nil && old.replica.Born != r.Born {
 		if r.Written < old.replica.Written {
@@ -163,6 +166,7 @@
 	if old == nil {
 		return false
 	}
+	t.noteGone(old)
 	delete(t.targets, id)
 	t.addresses[old.replica.Address] = without(t.addresses[old.replica.Address], old)
 	t.settle(old.replica.Address)
--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -32,6 +32,10 @@
 	rest time.Time
 	// unproved tells that no answer has come since the replica last asked for rest.
 	unproved bool
+	// gone tells that the life's record went, or that another life took its place, and beat
+	// how many heartbeats there had been.
+	gone bool
+	beat int64
 	// said is when something was last said.
 	said time.Time
 }
@@ -77,6 +81,27 @@
 	return x.word
 }
 
+// noteGone remembers a life whose record went; called with the lock held.
+func (t *Table) noteGone(x *target) {
+	w := t.wordOf(x, t.Clock.Now())
+	w.gone, w.beat = true, x.replica.Beat
+}
+
+// over tells whether a record is of a life that is gone, as the store has it that came back
+// from an older copy, or reads from behind: no heartbeat has come since. One that lives writes
+// another soon. Called with the lock held.
+func (t *Table) over(r *catalog.Replica) bool {
+	w := t.words[r.Life()]
+	if w == nil || !w.gone {
+		return false
+	}
+	if r.Beat > 0 && r.Beat <= w.beat {
+		return true
+	}
+	w.gone = false
+	return false
+}
+
 // recall gives a target that is registered what its life said before.
 func (t *Table) recall(x *target) { x.word = t.words[x.replica.Life()] }
 
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -29,6 +29,8 @@
 	doubtTime = 2500 * time.Millisecond
 	// silencePeriod is how often silent replicas are looked for.
 	silencePeriod = 100 * time.Millisecond
+	// looksBehind is after how many looks another gateway's newer configuration is taken.
+	looksBehind = 2
 	// lookPeriod is how often lapsed records and the tree's age are looked at.
 	lookPeriod = 250 * time.Millisecond
 )
@@ -38,6 +40,7 @@
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, Wait: settingsWait, Spacing: settingsSpacing,
 		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause, Early: true,
+		Renewed: func(graniteknot.Era) { g.Trees.Renew() },
 	}
 	f.Run(ctx)
 }
@@ -57,11 +60,30 @@
 		}
 	}
 	if newest == nil {
-		if tree, _ := g.Trees.Current(began); tree != nil {
-			g.Trees.Prove(tree.Version, began)
-		}
+		g.Trees.Unchanged(began)
 		return
 	}
+	g.Trees.Show(newest.Version)
+	g.offer(newest, record, began)
+}
+
+// handSettings takes the configuration that another gateway has, which it proved at a time.
+// It says nothing of what the store shows.
+func (g *Gateway) handSettings(records []graniteknot.KeyedRecord, at time.Time) {
+	for _, r := range records {
+		tree, err := g.Translator.Tree(r)
+		if err != nil {
+			g.malformed("configuration", r, err)
+			continue
+		}
+		if tree != nil {
+			g.offer(tree, r, at)
+		}
+	}
+}
+
+// offer takes a configuration into force unless a newer one is.
+func (g *Gateway) offer(newest *catalog.Tree, record graniteknot.KeyedRecord, began time.Time) {
 	changed, err := g.Trees.Offer(newest, began)
 	if err != nil {
 		g.Log.Warn("configuration refused", slog.Int64("version", int64(newest.Version)), slog.String("error", err.Error()))
@@ -203,6 +225,7 @@
 			g.Log.Info("replica gone", slog.String("replica", string(id)), slog.Bool("lapsed", true))
 		}
 	}
+	g.catchUp()
 	tree, age := g.Trees.Current(g.Clock.Now())
 	if tree == nil {
 		return
@@ -213,6 +236,23 @@
 	}
 }
 
+// catchUp takes the configuration from a gateway that has a newer one, where the store has
+// not shown it for two looks: after its return from an older copy it may not have it, and
+// keys that were taken away since would work again here.
+func (g *Gateway) catchUp() {
+	tree, _ := g.Trees.Current(g.Clock.Now())
+	if tree == nil || uint64(tree.Version) >= g.Members.NewestSettings() {
+		g.behind.Store(0)
+		return
+	}
+	if g.behind.Add(1) == looksBehind {
+		g.group.Go(func(ctx context.Context) {
+			g.settingsElsewhere(ctx)
+			g.behind.Store(0)
+		})
+	}
+}
+
 // watchSilence moves requests away from replicas that are cut off.
 func (g *Gateway) watchSilence() {
 	g.Forward.Expire()
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -88,6 +88,8 @@
 	bounds atomic.Pointer[directconf.Config]
 	// odd tells of records that can't be used.
 	odd eventlog.Sparse
+	// behind counts the looks since which another gateway has a newer configuration.
+	behind atomic.Int32
 	// stale tells that the last look found the configuration too old.
 	stale atomic.Bool
 }
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -159,10 +160,22 @@
 		Store: g.Store, Topic: graniteknot.TopicQuarantine, Health: &g.Health, Clock: g.Clock, Wait: quarantineWait, Spacing: quarantineSpacing,
 		Newest: g.takeQuarantine, Next: g.takeQuarantine, Early: true, RevalidatePause: quarantinePause,
 		Revalidate: func(context.Context) bool { return !g.readsQuarantine(g.Clock.Now()) },
+		Renewed:    func(graniteknot.Era) { g.renewQuarantine() },
 	}
 	f.Run(ctx)
 }
 
+// renewQuarantine has the records written again that the store lost when it came back from
+// an older copy. All that read them find that out at once, so each waits for a while of its
+// own, and the first one's records tell the others.
+func (g *Gateway) renewQuarantine() {
+	now := g.Clock.Now()
+	g.ward.renew()
+	for _, e := range g.Quarantine.Entries(now) {
+		g.ward.expect(&e, now.Add(rand.N(wardPatience)))
+	}
+}
+
 // readsQuarantine tells whether this gateway reads the records itself.
 func (g *Gateway) readsQuarantine(now time.Time) bool { return !g.many(now) || g.standsBy(now) }
 
@@ -175,6 +188,10 @@
 			continue
 		}
 		g.ward.store(&e)
+		if whole, known := g.Quarantine.Entry(e.Key, now); known && whole.Released && e.Blocks() {
+			// A copy of the store has it from before its release.
+			g.ward.expect(&whole, now.Add(rand.N(wardPatience)))
+		}
 		if g.Quarantine.Merge(&e, now) {
 			g.Log.Info("quarantine record", slog.String("identity", r.Key), slog.Bool("released", e.Released), slog.Int64("position", int64(r.At)))
 		}
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -82,7 +82,7 @@
 	if !ok {
 		return false
 	}
-	g.takeSettings(records, p.at)
+	g.handSettings(records, p.at)
 	tree, _ = g.Trees.Current(now)
 	return tree != nil && uint64(tree.Version) >= p.state
 }
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -114,7 +114,7 @@
 		known = uint64(tree.Version)
 	}
 	newer := func(state uint64) bool { return state > known }
-	return g.elsewhere(ctx, askSettings, askSettingsPart, newer, g.takeSettings)
+	return g.elsewhere(ctx, askSettings, askSettingsPart, newer, g.handSettings)
 }
 
 // replicasElsewhere takes the replicas' records from a gateway that knows others.
--- a/internal/core/gateway/ward.go
+++ b/internal/core/gateway/ward.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// renew notes that nothing is known of what the store has.
+func (w *ward) renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stored = nil
+}
+
 // missing returns the requests whose records are to be written now.
 func (w *ward) missing(now time.Time) []quarantine.Key {
 	w.mu.Lock()
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -12,6 +12,7 @@
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/watch"
 	"graniteknot.org/go/internal/delay"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
@@ -46,6 +47,9 @@
 	// store; false when none answers. Nil where nobody does.
 	Elsewhere func(ctx context.Context) bool
 
+	// renewed is the era in which records are to be written again; 0 for none. Only the
+	// follower touches it.
+	renewed graniteknot.Era
 	// known tells that the store has a record that differs from the own one by the life
 	// at most.
 	known atomic.Bool
@@ -92,14 +96,21 @@
 			once.Do(r.Met)
 		}
 	}
+	var again group.Group
+	defer again.Stop()
 	newest := func(records []graniteknot.KeyedRecord, began time.Time) {
 		r.take(records, began)
 		r.read.Store(true)
 		met()
+		if era := r.renewed; era != 0 {
+			r.renewed = 0
+			again.Go(func(ctx context.Context) { r.restore(ctx, era) })
+		}
 	}
 	follower := watch.Follower{
 		Store: r.Store, Topic: graniteknot.TopicMembers, Health: r.Health, Clock: r.Clock, Wait: followWait, Pause: followPause,
 		Newest: newest, Next: r.take, Failed: func(error) { met() }, Revalidate: r.Elsewhere, RevalidatePause: CensusPeriod,
+		Renewed: func(era graniteknot.Era) { r.renewed = era },
 	}
 	follower.Run(ctx)
 }
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -108,17 +108,16 @@
 		Layers: engine.Experts.Sets, Experts: engine.Experts.Experts, Ranks: report.Size, Slots: engine.Experts.Places,
 	}
 	k := ranks.NewKeeper(ranks.Parts{
-		// Positions begin at 0, fences at 1.
-		Fence: at + 1, Own: report.Rank, Former: former, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: found.Members,
+		Fence: ranks.FenceOf(at), Own: report.Rank, Former: former, Engine: engine, Gap: gap, Log: s.Log, Meter: s.Meter, Members: found.Members,
 		Link:    s.Config.Link,
 		Clock:   s.Clock,
 		Tell:    s.takeForecast,
 		Planner: &planner.Planner{Shape: shape, Smoothing: 1},
 	})
-	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int("ranks", report.Size))
+	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(ranks.FenceOf(at))), slog.Int("ranks", report.Size))
 	fenced := k.Run(ctx)
 	s.takeForecast(ranks.Forecast{})
-	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(at+1)), slog.Int64("other", int64(fenced)))
+	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(ranks.FenceOf(at))), slog.Int64("other", int64(fenced)))
 }
 
 // engine reads the own service's engine and the longest useful pause from the
--- /dev/null
+++ b/internal/soak/drill.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"graniteknot.org/go/platform/platformtest"
+)
+
+const (
+	// drillPause is the time before a drill, in which its copy grows old: at least half of
+	// it, at most one and a half.
+	drillPause = 2 * time.Second
+	// drillAway is for how long the store is away at most, drillRewrite how long operators and
+	// replicas take at most to write again what the copy has not.
+	drillAway    = 500 * time.Millisecond
+	drillRewrite = 1500 * time.Millisecond
+	// drillsStream is the stream of the seed that drills are drawn from.
+	drillsStream = wordsStream + 1
+)
+
+// drills has the store come back from older copies of itself until ctx is done.
+func (w *world) drills(ctx context.Context, gateways []*process, choose func(int) int) {
+	upTo := func(d time.Duration) time.Duration { return time.Duration(choose(int(d))) }
+	for ctx.Err() == nil {
+		dated := w.store.Records.Copy()
+		wait(ctx, drillPause/2+upTo(drillPause))
+		for _, g := range gateways {
+			g.blindFor(drillAway + drillRewrite)
+		}
+		w.store.Answer(http.StatusServiceUnavailable)
+		wait(ctx, upTo(drillAway))
+		w.store.Records.Restore(dated)
+		w.store.Answer(0)
+		wait(ctx, upTo(drillRewrite))
+		w.rewrite()
+	}
+}
+
+// rewrite has operators and replicas write what they have written before.
+func (w *world) rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.putConfig()
+	for _, s := range w.all {
+		select {
+		case <-s.Ended():
+			continue
+		default:
+		}
+		w.put(s.ID, platformtest.RecordOfLife(service, s.Address(), !s.leaving.IsZero(), s.born))
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,8 @@
 	Ends bool
 	// Words has replicas ask for rest, and say in their answers that they leave.
 	Words bool
+	// Drills has the store come back from older copies of itself.
+	Drills bool
 	// Say is told each fault; nil for nobody.
 	Say func(string)
 }
@@ -106,6 +108,11 @@
 		load.Go(func(context.Context) { others.runDeadly(calling, gateways, random.IntN) })
 		load.Go(func(context.Context) { w.scribble(calling, rand.New(rand.NewPCG(o.Seed, endsStream+1)).IntN) })
 	}
+	if o.Drills {
+		load.Go(func(context.Context) {
+			w.drills(calling, gateways, rand.New(rand.NewPCG(o.Seed, drillsStream)).IntN)
+		})
+	}
 	if o.Words {
 		load.Go(func(context.Context) { w.moods(calling, rand.New(rand.NewPCG(o.Seed, wordsStream)).IntN) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,12 +45,12 @@
 	return n
 }
 
-func play(t *testing.T, program string, seed uint64, faults int, span time.Duration, ends, words bool) {
+func play(t *testing.T, program string, seed uint64, faults int, span time.Duration, ends, words, drills bool) {
 	t.Helper()
 	var story []string
 	dir := t.TempDir()
 	result, err := soak.Run(context.Background(), soak.Options{
-		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span, Ends: ends, Words: words,
+		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span, Ends: ends, Words: words, Drills: drills,
 		Say: func(line string) { story = append(story, line) },
 	})
 	if err != nil {
@@ -81,7 +81,7 @@
 // TestSoak plays a short seed, and those that ever failed. GRANITEKNOT_SOAK is a
 // number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, each second one
 // with a request that ends replicas and odd records, two in three with replicas that ask for rest
-// or say that they leave.
+// or say that they leave, and half with drills of the store.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are not built with the race detector")
@@ -90,14 +90,14 @@
 	if count, _ := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_SEEDS")); count > 0 {
 		first, _ := strconv.ParseUint(os.Getenv("GRANITEKNOT_SOAK_SEED"), 10, 64)
 		for i := range uint64(count) {
-			play(t, program, first+i, 14, 20*time.Second, i%2 == 1, i%3 != 0)
+			play(t, program, first+i, 14, 20*time.Second, i%2 == 1, i%3 != 0, i%4 >= 2)
 		}
 		return
 	}
-	play(t, program, 1, 8, 8*time.Second, false, false)
-	play(t, program, 2, 6, 16*time.Second, true, false)
-	play(t, program, 3, 4, 12*time.Second, false, true)
+	play(t, program, 1, 8, 8*time.Second, false, false, false)
+	play(t, program, 2, 6, 16*time.Second, true, false, false)
+	play(t, program, 3, 4, 12*time.Second, false, true, true)
 	for _, seed := range failed {
-		play(t, program, seed, 14, 20*time.Second, false, false)
+		play(t, program, seed, 14, 20*time.Second, false, false, false)
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -168,6 +168,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
+	w.putConfig()
+}
+
+// putConfig writes the present configuration; called with the lock held.
+func (w *world) putConfig() {
 	var keys []string
 	for _, k := range w.keys {
 		if k.removed.IsZero() {
