A request under which a rank of a lock-step group ended unanswered is kept from all for a minute

Cause: which of the requests at a replica ended it was told by a second end, which costs all callers of a lock-step group some 4 s. A request that ends whoever begins it had been answered nothing; most others there had. Plain services and requests that had been answered something are as they were.

--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -105,6 +105,13 @@
 	l.target.latency += time.Duration(smoothing * float64(took-l.target.latency))
 }
 
+// Begun tells whether a part of the answer was noted.
+func (l *Lease) Begun() bool {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	return l.begun
+}
+
 // End gives the place back; later calls do nothing.
 func (l *Lease) End(v Verdict, now time.Time) {
 	l.table.mu.Lock()
--- a/internal/core/forward/endings.go
+++ b/internal/core/forward/endings.go
@@ -85,11 +85,13 @@
 	})
 	noted := make(chan struct{})
 	replica := l.Replica
+	// A lock-step group stands for as long as one of its ranks is away.
+	suspect := replica.Group != "" && !l.Begun()
 	f.endings.group.Go(func(context.Context) {
 		defer close(noted)
 		<-look.over
 		if look.ended {
-			f.ended(r.job, key, &replica)
+			f.ended(r.job, key, &replica, suspect)
 		}
 	})
 	timer := time.NewTimer(lookPatience)
@@ -102,7 +104,7 @@
 }
 
 // ended notes that a replica ended while it had a request.
-func (f *Forwarder) ended(j *Job, key quarantine.Key, replica *catalog.Replica) {
+func (f *Forwarder) ended(j *Job, key quarantine.Key, replica *catalog.Replica, suspect bool) {
 	f.Meter.Count("graniteknot_answers_lost_with_replica_total", meter.Label{Name: "service", Value: string(replica.Service)})
 	fields := []slog.Attr{
 		slog.String("request", string(j.ID)), slog.String("identity", key.String()), slog.String("replica", replica.Life().String()),
@@ -112,8 +114,12 @@
 		fields = append(fields, slog.String("account", string(j.Account.Name)))
 	}
 	if q := f.Quarantine; q != nil {
-		taken := q.Ended(key, replica.Life().Mark(), f.Clock.Now())
-		fields = append(fields, slog.Bool("counted", taken), slog.Bool("kept_from_replicas", q.Blocks(key)))
+		now, note := f.Clock.Now(), q.Ended
+		if suspect {
+			note = q.EndedUnanswered
+		}
+		taken := note(key, replica.Life().Mark(), now)
+		fields = append(fields, slog.Bool("counted", taken), slog.Bool("suspect", suspect), slog.Bool("kept_from_replicas", q.Keeps(key, now)))
 	}
 	f.Log.Warn("replica ended", fields...)
 }
--- a/internal/core/forward/quarantined.go
+++ b/internal/core/forward/quarantined.go
@@ -27,7 +27,7 @@
 // quarantined tells whether the request is kept from replicas.
 func (r *run) quarantined() bool {
 	q := r.f.Quarantine
-	return q != nil && !q.Empty() && q.Blocks(r.key())
+	return q != nil && !q.Empty() && q.Keeps(r.key(), r.f.Clock.Now())
 }
 
 // acquire waits for a place at a replica; nil when there is none in time, or the request
@@ -35,7 +35,7 @@
 func (r *run) acquire() *fleet.Lease {
 	ctx := r.ctx
 	if q := r.f.Quarantine; q != nil && !q.Empty() {
-		while, done := q.While(ctx, r.key())
+		while, done := q.While(ctx, r.key(), r.f.Clock.Now())
 		defer done()
 		ctx = while
 	}
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -52,6 +52,8 @@
 	switch {
 	case e.Blocks():
 		g.Log.Warn("request quarantined", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.Lives)))
+	case e.Suspect && !e.Released:
+		g.Log.Warn("request suspected", slog.String("identity", e.Key.String()))
 	case e.Released:
 		g.Log.Info("request released", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.Lives)))
 	}
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -30,6 +30,9 @@
 	// Released requests are kept from nobody, whatever Lives: a replica has answered it,
 	// or an operator said so. Once set it stays.
 	Released bool `cbor:"3,keyasint,omitempty"`
+	// Suspect requests were at a replica that ended before it had answered anything of them,
+	// and whose end costs all others. Once set it stays.
+	Suspect bool `cbor:"5,keyasint,omitempty"`
 	// Age is how long ago it was first known, at least, in milliseconds.
 	Age int64 `cbor:"4,keyasint,omitempty"`
 }
@@ -43,11 +46,11 @@
 	slices.Sort(lives)
 	lives = slices.Compact(lives)
 	lives = lives[:min(len(lives), mostLives)]
-	released := e.Released || other.Released
-	if released == e.Released && slices.Equal(lives, e.Lives) {
+	released, suspect := e.Released || other.Released, e.Suspect || other.Suspect
+	if released == e.Released && suspect == e.Suspect && slices.Equal(lives, e.Lives) {
 		return false
 	}
-	e.Lives, e.Released = lives, released
+	e.Lives, e.Released, e.Suspect = lives, released, suspect
 	return true
 }
 
@@ -60,6 +63,9 @@
 	if e.Released {
 		b = append(b, 1)
 	}
+	if e.Suspect {
+		b = append(b, 2)
+	}
 	return xxhash.Sum64(b)
 }
 
@@ -73,6 +79,11 @@
 	waiting map[*func()]struct{}
 }
 
+// keeps tells whether the request is kept from replicas at a time.
+func (i *item) keeps(now time.Time) bool {
+	return i.Blocks() || i.Suspect && !i.Released && now.Sub(i.since) < suspectFor
+}
+
 // over tells whether an entry has stood for long enough.
 func (i *item) over(now time.Time) bool {
 	if i.Blocks() {
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -17,6 +17,12 @@
 	// keepOther is for how long it is known that one replica ended under a request, or
 	// that it was released.
 	keepOther = 10 * time.Minute
+	// suspectFor is for how long a request is kept from replicas under which one ended that
+	// had answered nothing of it yet. A request that ends whoever begins it is among the
+	// few that had just begun, and comes again soon; the second end, which would tell it from
+	// the others, costs all callers of a lock-step group some 4 s. Of the others none had been
+	// answered anything, and their group stands for as long as their callers wait.
+	suspectFor = time.Minute
 	// mostEntries bounds a table: 100 KB.
 	mostEntries = 1024
 	// atOnce is the time within which at most mostAtOnce ends are taken for a request's
@@ -50,7 +56,15 @@
 // Empty tells whether nothing is known of any request.
 func (t *Table) Empty() bool { return t.count.Load() == 0 }
 
-// Blocks tells whether a request is kept from replicas.
+// Keeps tells whether a request is kept from replicas now: for long, or as a suspect.
+func (t *Table) Keeps(k Key, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i := t.items[k]
+	return i != nil && i.keeps(now)
+}
+
+// Blocks tells whether a request is kept from replicas for long, under which enough ended.
 func (t *Table) Blocks(k Key) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -61,10 +75,20 @@
 // Ended notes that a replica ended while it worked on a request. It returns false where
 // so many end at once that the requests are not the cause.
 func (t *Table) Ended(k Key, life catalog.Mark, now time.Time) bool {
-	if !t.single(life, now) {
+	return t.end(Entry{Key: k, Lives: []catalog.Mark{life}}, now)
+}
+
+// EndedUnanswered notes the same of a replica that had answered nothing of the request, and
+// whose end costs others much: the request is a suspect.
+func (t *Table) EndedUnanswered(k Key, life catalog.Mark, now time.Time) bool {
+	return t.end(Entry{Key: k, Lives: []catalog.Mark{life}, Suspect: true}, now)
+}
+
+func (t *Table) end(e Entry, now time.Time) bool {
+	if !t.single(e.Lives[0], now) {
 		return false
 	}
-	t.own(Entry{Key: k, Lives: []catalog.Mark{life}}, now)
+	t.own(e, now)
 	return true
 }
 
@@ -125,7 +149,7 @@
 	changed := i.merge(e)
 	t.digest ^= before ^ i.sum()
 	var wake []*func()
-	if changed && i.Blocks() {
+	if changed && i.keeps(now) {
 		for w := range i.waiting {
 			wake = append(wake, w)
 		}
@@ -249,7 +273,7 @@
 
 // While returns a context that also ends once a request is kept from replicas; it costs
 // nothing while nothing is known of the request. Call the function when done.
-func (t *Table) While(ctx context.Context, k Key) (context.Context, func()) {
+func (t *Table) While(ctx context.Context, k Key, now time.Time) (context.Context, func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	i := t.items[k]
@@ -257,7 +281,7 @@
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	if i.Blocks() {
+	if i.keeps(now) {
 		cancel()
 	}
 	wake := func() { cancel() }
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -162,9 +162,9 @@
 	var table quarantine.Table
 	k := key("x")
 	table.Ended(k, 1, start)
-	waiting, done := table.While(context.Background(), k)
+	waiting, done := table.While(context.Background(), k, start)
 	defer done()
-	other, doneOther := table.While(context.Background(), key("y"))
+	other, doneOther := table.While(context.Background(), key("y"), start)
 	defer doneOther()
 	if waiting.Err() != nil {
 		t.Error("one end ended the wait")
@@ -174,7 +174,7 @@
 	if waiting.Err() == nil || other.Err() != nil {
 		t.Error("the wait goes on, or another one's ended")
 	}
-	late, doneLate := table.While(context.Background(), k)
+	late, doneLate := table.While(context.Background(), k, start)
 	defer doneLate()
 	if late.Err() == nil {
 		t.Error("a request that is blocked waits")
@@ -221,3 +221,33 @@
 		}
 	}
 }
+
+// TestSuspectIsKeptForAWhile keeps a request under which one replica ended before it had
+// answered anything: at once, in every table that is told, and until an answer, an end of the
+// time or a second end. Nobody else's request is.
+func TestSuspectIsKeptForAWhile(t *testing.T) {
+	var table, other quarantine.Table
+	k := key("x")
+	table.Changed = func(e quarantine.Entry) { other.Merge(&e, start) }
+	table.EndedUnanswered(k, 1, start)
+	table.Ended(key("begun"), 1, start)
+	for _, x := range []*quarantine.Table{&table, &other} {
+		if !x.Keeps(k, start) || x.Blocks(k) || x.Keeps(key("begun"), start) || x.Keeps(key("y"), start) {
+			t.Error("right after the end")
+		}
+		if !x.Keeps(k, start.Add(59*time.Second)) || x.Keeps(k, start.Add(61*time.Second)) {
+			t.Error("not kept for a minute")
+		}
+	}
+	if table.Digest() != other.Digest() {
+		t.Error("who was told knows something else")
+	}
+	table.Ended(k, 2, start.Add(2*time.Minute))
+	if !table.Keeps(k, start.Add(time.Hour)) || !table.Blocks(k) {
+		t.Error("two ends do not block")
+	}
+	other.Answered(k, start)
+	if other.Keeps(k, start) {
+		t.Error("an answered request is kept")
+	}
+}
