--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -239,46 +239,6 @@
 	return ReasonCallerGone
 }
 
-// giveUp settles a request that gets no answer of its own.
-func (r *run) giveUp(why Reason) {
-	if r.spare != nil && !r.result.Begun && why != ReasonCallerGone {
-		r.give(r.spare)
-		return
-	}
-	r.result.Reason = why
-	r.result.Outcome = graniteknot.OutcomeUnknown
-	if !r.mayHaveRun {
-		r.result.Outcome = graniteknot.OutcomeNotRun
-		r.result.Again = r.again(why)
-	}
-}
-
-// again is in how long the caller of a request that did not run may come back: as soon as a
-// replica will have rested that takes requests, where all rest, and those who wait will have
-// been served. What one replica asked for says nothing of the others: 34 callers that two
-// replicas had turned away came back 2.6 s later, while eight others had room.
-func (r *run) again(why Reason) time.Duration {
-	q := r.query()
-	rested := r.f.Fleet.Rested(q)
-	if why == ReasonBusy {
-		return max(rested, r.f.Fleet.Drained(q))
-	}
-	return rested
-}
-
-// give passes a whole answer on.
-func (r *run) give(a *reply) {
-	r.first()
-	r.result.Status = a.status
-	r.result.Reason = ReasonNone
-	r.result.Outcome = graniteknot.OutcomeAnswered
-	r.result.Begun = true
-	if err := r.sink.Whole(a.status, a.header, a.body); err != nil {
-		r.result.Outcome = graniteknot.OutcomeUnknown
-		r.result.Reason = ReasonCallerGone
-	}
-}
-
 // first notes the first byte of the answer.
 func (r *run) first() {
 	if r.result.First == 0 {
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -45,20 +45,9 @@
 	f.Run(ctx)
 }
 
+// takeSettings takes in what a read of the store showed, which may be nothing new.
 func (g *Gateway) takeSettings(records []graniteknot.KeyedRecord, began time.Time) {
-	var newest *catalog.Tree
-	var record graniteknot.KeyedRecord
-	for _, r := range records {
-		tree, err := g.Translator.Tree(r)
-		if err != nil {
-			g.malformed("configuration", r, err)
-			continue
-		}
-		if tree != nil {
-			newest = tree
-			record = r
-		}
-	}
+	newest, record := g.newestTree(records)
 	if newest == nil {
 		g.Trees.Unchanged(began)
 		return
@@ -70,6 +59,13 @@
 // handSettings takes the configuration that another gateway has, which it proved at a time.
 // It says nothing of what the store shows.
 func (g *Gateway) handSettings(records []graniteknot.KeyedRecord, at time.Time) {
+	if newest, record := g.newestTree(records); newest != nil {
+		g.offer(newest, record, at)
+	}
+}
+
+// newestTree reads the last record that is a configuration; nil where none is.
+func (g *Gateway) newestTree(records []graniteknot.KeyedRecord) (newest *catalog.Tree, record graniteknot.KeyedRecord) {
 	for _, r := range records {
 		tree, err := g.Translator.Tree(r)
 		if err != nil {
@@ -77,9 +73,10 @@
 			continue
 		}
 		if tree != nil {
-			g.offer(tree, r, at)
+			newest, record = tree, r
 		}
 	}
+	return newest, record
 }
 
 // offer takes a configuration into force unless a newer one is.
--- a/internal/core/gateway/word_test.go
+++ b/internal/core/gateway/word_test.go
@@ -79,27 +79,31 @@
 		eventually(t, "serves", func() bool { return b.post(path, "") == http.StatusOK })
 		refused += b.askMany(path)
 	}
-	for _, x := range r.said {
-		if n := len(x.Seen()); n > len(gateways) {
-			t.Errorf("a replica that asked for rest got %d requests from %d gateways", n, len(gateways))
-		}
-	}
+	r.once(t, gateways)
 	r.rewrite(t, gateways, path)
 	for _, b := range gateways {
 		refused += b.askMany(path)
 	}
+	r.once(t, gateways)
+	if refused > len(gateways)*len(r.said) {
+		t.Errorf("%d requests refused while half of the replicas had room", refused)
+	}
+}
+
+// once expects each gateway to have found out at most once what a replica says, and that some
+// was said.
+func (r *rested) once(t *testing.T, gateways []*box) {
+	t.Helper()
 	total := 0
 	for _, x := range r.said {
-		total += len(x.Seen())
-		if n := len(x.Seen()); n > len(gateways) {
-			t.Errorf("after its record came again: %d requests from %d gateways", n, len(gateways))
+		n := len(x.Seen())
+		total += n
+		if n > len(gateways) {
+			t.Errorf("a replica got %d requests from %d gateways", n, len(gateways))
 		}
 	}
 	if total == 0 {
-		t.Error("no replica asked for rest")
-	}
-	if refused > len(gateways)*len(r.said) {
-		t.Errorf("%d requests refused while half of the replicas had room", refused)
+		t.Error("no replica said anything")
 	}
 }
 
@@ -160,16 +164,7 @@
 			t.Errorf("%d requests refused", refused)
 		}
 	}
-	total := 0
-	for _, x := range r.said {
-		total += len(x.Seen())
-		if n := len(x.Seen()); n > len(gateways) {
-			t.Errorf("a replica that said it leaves got %d requests from %d gateways", n, len(gateways))
-		}
-	}
-	if total == 0 {
-		t.Error("no replica said that it leaves")
-	}
+	r.once(t, gateways)
 	next := r.said[0]
 	r.store.Put(graniteknot.TopicReplicas, next.ID, platformtest.RecordOfLife("s", next.Address(), false, 77))
 	before := len(next.Seen())
