A request that was answered of late is not blamed for the ends of replicas

Cause: an answer released a request only if it came after an end. A request that many callers send is under way at most replicas; where two ended and no copy was answered in between, as where replicas ask for rest, or where one rank ended (a suspect), it was kept from all, and nothing could release it any more. Found by the soak, ruled out: records (all replicas known), rest (others serve).

--- a/internal/core/forward/quarantined.go
+++ b/internal/core/forward/quarantined.go
@@ -42,10 +42,10 @@
 	return r.f.Fleet.Acquire(ctx, r.query(), r.waiting())
 }
 
-// answered notes a request that a replica answered: whatever ended others was not it.
+// answered notes a request that a replica answered: whatever ended others, or will, was not it.
 func (r *run) answered() {
 	q := r.f.Quarantine
-	if r.result.Outcome == graniteknot.OutcomeAnswered && q != nil && !q.Empty() {
+	if r.result.Outcome == graniteknot.OutcomeAnswered && q != nil {
 		q.Answered(r.key(), r.f.Clock.Now())
 	}
 }
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -41,6 +41,8 @@
 	items map[Key]*item
 	// digest is the sum of all entries.
 	digest uint64
+	// answered are the requests that this process saw answered.
+	answered recent
 	// ends are the lives that ended of late.
 	ends []end
 	// count is the number of items, read on each request's way.
@@ -88,13 +90,22 @@
 	if !t.single(e.Lives[0], now) {
 		return false
 	}
+	e.Released = t.seenAnswered(e.Key)
 	t.own(e, now)
 	return true
 }
 
+// seenAnswered tells whether the request was answered of late.
+func (t *Table) seenAnswered(k Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.answered.has(k)
+}
+
 // Answered notes that a replica answered a request: it does not end each that begins it.
 func (t *Table) Answered(k Key, now time.Time) {
 	t.mu.Lock()
+	t.answered.add(k, now)
 	known := t.items[k] != nil
 	t.mu.Unlock()
 	if known {
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -251,3 +251,26 @@
 		t.Error("an answered request is kept")
 	}
 }
+
+// TestAnsweredOfLateIsReleased releases a request that this process saw answered before the
+// ends, for as long as it remembers, and bounds that.
+func TestAnsweredOfLateIsReleased(t *testing.T) {
+	var table quarantine.Table
+	k := key("x")
+	table.Answered(k, start)
+	table.EndedUnanswered(k, 1, start.Add(time.Second))
+	table.Ended(k, 2, start.Add(2*time.Second))
+	if table.Keeps(k, start.Add(3*time.Second)) {
+		t.Error("a request that was answered before is kept")
+	}
+	late := start.Add(time.Hour)
+	y := key("y")
+	table.Answered(y, start)
+	for i := range 3 * 4096 {
+		table.Answered(key(string(rune('a'+i))), late)
+	}
+	table.EndedUnanswered(y, 3, late)
+	if !table.Keeps(y, late) {
+		t.Error("an answer before 8,192 others is still remembered")
+	}
+}
--- a/internal/core/relay/quarantined.go
+++ b/internal/core/relay/quarantined.go
@@ -32,7 +32,7 @@
 	}
 	now := n.relay.now()
 	switch {
-	case e.end == endWhole && !q.Empty():
+	case e.end == endWhole:
 		q.Answered(n.identity(), now)
 	case e.end == endBroken && strings.HasPrefix(e.reason, graniteknot.ReasonTargetEnded):
 		// No target tells its start here: its address and when it ended name the life.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -87,6 +87,11 @@
 		Old: "i.Blocks() || i.Suspect && !i.Released && now.Sub(i.since) < suspectFor", New: "i.Blocks() || now.Sub(i.since) < 0",
 		Package: "internal/core/forward", Test: "TestOneEndInALockStepGroup",
 	},
+	{
+		Name: "answers before an end are forgotten", File: "internal/core/quarantine/table.go",
+		Old: "\tt.answered.add(k, now)\n", New: "",
+		Package: "internal/core/forward", Test: "TestCommonRequestIsNotBlamed",
+	},
 	{
 		Name: "the era of answers is not compared", File: "platform/store.go",
 		Old: "return graniteknot.Era(told), told == known", New: "return graniteknot.Era(told), true",
