--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -106,6 +106,10 @@
 		Name: "fences forget the era", File: "internal/core/ranks/fence.go", Old: "int64(at.Era())<<claimBits + ", New: "",
 		Package: "internal/core/ranks", Test: "TestFencesRiseOverEras", Arguments: []string{"-rapid.nofailfile"},
 	},
+	{
+		Name: "a keeper of a new era has a lower fence", File: "internal/core/ranks/fence.go", Old: "int64(at.Era())<<claimBits + ", New: "",
+		Package: "internal/core/ranks", Test: "TestKeepersAcrossADrill", Says: "gave way", Arguments: []string{"-rapid.nofailfile"},
+	},
 	{
 		Name: "a store that is behind proves settings", File: "catalog/holder.go", Old: "h.tree == nil || h.shown < h.tree.Version", New: "h.tree == nil",
 		Package: "internal/core/gateway", Test: "TestRevokedKeyAcrossADrill", Says: "too old to be trusted",
