--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -167,7 +167,7 @@
 		if g.Fleet.Put(replica, now) {
 			g.Log.Info("replica", slog.String("replica", r.Key), slog.String("service", string(replica.Service)),
 				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining),
-				slog.Int64("position", int64(r.At)))
+				slog.Int64("position", r.At.Offset()))
 		}
 	}
 }
@@ -190,7 +190,7 @@
 // write as many as he likes.
 func (g *Gateway) malformed(what string, r graniteknot.KeyedRecord, err error) {
 	g.Meter.Count("graniteknot_malformed_records_total", meter.Label{Name: "record", Value: what})
-	g.odd.Warn(g.Log, "malformed "+what, r.Key, err.Error(), slog.Int64("position", int64(r.At)))
+	g.odd.Warn(g.Log, "malformed "+what, r.Key, err.Error(), slog.Int64("position", r.At.Offset()))
 }
 
 // vanished acts on a record that is gone. While the store is away, and shortly
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -195,7 +195,7 @@
 			g.ward.expect(&whole, now.Add(rand.N(wardPatience)))
 		}
 		if g.Quarantine.Merge(&e, now) {
-			g.Log.Info("quarantine record", slog.String("identity", r.Key), slog.Bool("released", e.Released), slog.Int64("position", int64(r.At)))
+			g.Log.Info("quarantine record", slog.String("identity", r.Key), slog.Bool("released", e.Released), slog.Int64("position", r.At.Offset()))
 		}
 	}
 }
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -75,7 +75,7 @@
 		at, err := r.Store.Append(ctx, graniteknot.TopicMembers, graniteknot.KeyedRecord{Key: string(r.Self.Box), Value: value})
 		if err == nil {
 			r.View.Registered(at)
-			r.Log.Info("registered", slog.Int64("position", int64(at)), slog.Uint64("born", uint64(r.Self.Born)))
+			r.Log.Info("registered", slog.Int64("position", at.Offset()), slog.Uint64("born", uint64(r.Self.Born)))
 			return
 		}
 		// Registering twice is harmless.
@@ -143,7 +143,7 @@
 			continue
 		}
 		r.Log.Info("member", slog.String("member", string(m.Box)), slog.String("member_role", string(m.Role)),
-			slog.Uint64("born", uint64(m.Born)), slog.Int64("position", int64(record.At)))
+			slog.Uint64("born", uint64(m.Born)), slog.Int64("position", record.At.Offset()))
 		if r.Joined != nil {
 			r.Joined(m)
 		}
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -131,7 +131,7 @@
 	for _, r := range page.Records {
 		tree, err := s.Translator.Tree(r)
 		if err != nil {
-			s.Log.Warn("malformed configuration", slog.Int64("position", int64(r.At)), slog.String("error", err.Error()))
+			s.Log.Warn("malformed configuration", slog.Int64("position", r.At.Offset()), slog.String("error", err.Error()))
 			continue
 		}
 		if tree == nil {
