--- /dev/null
+++ b/internal/core/fleet/pick_bench_test.go
@@ -0,0 +1,37 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+)
+
+// many returns a table of replicas that report, with nothing else known.
+func many(n int, now time.Time) *fleet.Table {
+	t := &fleet.Table{}
+	for i := range n {
+		id := catalog.ReplicaID(fmt.Sprint("r", i))
+		t.Put(replica(id), now.Add(-time.Hour))
+		t.Report(replica(id).Address, fleet.Load{Running: i % 3, Taken: now})
+	}
+	return t
+}
+
+// BenchmarkChoice chooses among 72 engines that have room, and gives the place back. Eight runs
+// each, in turn with a build that knows no words, on a busy machine: at least 69.2 and 65.0 us,
+// medians 76.8 and 74.0.
+func BenchmarkChoice(b *testing.B) {
+	now := time.Now()
+	table := many(72, now)
+	ctx := context.Background()
+	for b.Loop() {
+		q := &fleet.Query{Service: grouped, Gap: usefulGap, Size: catalog.Size{Prompt: 1}, Now: now, Asked: now}
+		if l := table.Acquire(ctx, q, fleet.Waiting{Aim: now.Add(time.Second), Last: now.Add(time.Second)}); l != nil {
+			l.End(fleet.VerdictGood, now)
+		}
+	}
+}
