--- a/internal/core/forward/dialect.go
+++ b/internal/core/forward/dialect.go
@@ -6,6 +6,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/quota"
 )
 
 // Attempt is a request as it goes to one replica.
@@ -33,6 +34,8 @@
 	Rest time.Duration
 	// Leaving is the replica's word that it will end as planned.
 	Leaving bool
+	// Limit is what the replica takes from all processes together.
+	Limit quota.Word
 }
 
 // Dialect writes requests to replicas and reads their answers' marks.
--- a/internal/core/forward/word.go
+++ b/internal/core/forward/word.go
@@ -26,6 +26,12 @@
 	if r.said.Leaving {
 		r.countWord(l, "leaving")
 	}
+	switch {
+	case r.said.Limit.Odd:
+		r.countWord(l, "odd limit")
+	case r.said.Limit.Named:
+		r.countWord(l, "limit")
+	}
 }
 
 // countWord counts what a replica said of itself.
@@ -43,5 +49,8 @@
 	if m.Leaving {
 		out = append(out, slog.Bool("leaving", true))
 	}
+	if m.Limit.Named {
+		out = append(out, slog.Float64("limit", float64(m.Limit.Rate)))
+	}
 	return out
 }
