A gateway that the store alone turned away believes the store again: others read it all the while

What callers saw: a request reached a replica 3,320 ms after its record had gone, where 3,000 may pass.

Cause: the doubt on vanished records is about the store, but was told by a process's own calls: one that the store had turned away for 9 s kept a replica whose record had gone for 2 s more, and all who go by its word with it.

Change: who proves its records to another one also says whether it has had trouble with the store of late. Where such a sound one read the store within 1.5 s before the return, the trouble was one's own, and nothing is doubted. After the return of an older copy (an era) all is doubted as before.

An answer is one byte longer; older builds pass over it.

--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -56,6 +56,8 @@
 	unread bool
 	// answered tells that a reader answered, but proved nothing.
 	answered bool
+	// sound tells that the reader has had no trouble with the store of late.
+	sound bool
 }
 
 // revalidateSettings tells whether a reader proves that the tree is the newest, or
@@ -99,6 +101,9 @@
 	if !ok {
 		return !g.mayCall(askReplicas, p.answered, g.Clock.Now())
 	}
+	if p.sound {
+		g.Health.Elsewhere(p.at)
+	}
 	now := g.Clock.Now()
 	age, read := g.validity.age(now)
 	switch {
@@ -152,7 +157,7 @@
 	for i := range min(revalidateTries, len(readers)) {
 		reader := readers[(first+i)%len(readers)]
 		asked := g.Clock.Now()
-		state, age, err := g.askPeer(ctx, reader.Peers, kind)
+		state, age, sound, err := g.askPeer(ctx, reader.Peers, kind)
 		if errors.Is(err, errUnread) {
 			return proof{reader: reader, unread: true}, true
 		}
@@ -162,7 +167,7 @@
 			g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "proved"})
 			g.validity.prefer(first + i)
 			g.validity.doubt(kind, false, asked)
-			return proof{reader: reader, state: state, at: at}, true
+			return proof{reader: reader, state: state, at: at, sound: sound}, true
 		}
 		g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "doubted"})
 		if err == nil || ctx.Err() == nil {
@@ -173,34 +178,41 @@
 	return proof{answered: answered}, false
 }
 
-func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (uint64, time.Duration, error) {
+// askPeer asks a gateway for the state of a topic and its age, and whether it has had no trouble
+// with the store of late.
+func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (state uint64, age time.Duration, sound bool, err error) {
 	short, cancel := context.WithTimeout(ctx, revalidateTime)
 	defer cancel()
 	body, err := g.socket.Ask(short, to, kind, nil)
 	if err != nil {
-		return 0, 0, err
+		return 0, 0, false, err
 	}
 	if len(body) == 0 {
-		return 0, 0, errUnread
+		return 0, 0, false, errUnread
 	}
 	return stateOf(body)
 }
 
 var errMalformed = errors.New("malformed answer")
 
-// stateOf reads an answer: a state, and its age in microseconds.
-func stateOf(body []byte) (uint64, time.Duration, error) {
+// stateOf reads an answer: a state, its age in microseconds, and whether the one who tells it is
+// sound. Gateways of earlier builds do not say, and count as not sound.
+func stateOf(body []byte) (state uint64, age time.Duration, sound bool, err error) {
 	state, n := binary.Uvarint(body)
 	if n <= 0 {
-		return 0, 0, errMalformed
+		return 0, 0, false, errMalformed
 	}
-	age, m := binary.Uvarint(body[n:])
-	if m <= 0 || age > uint64(time.Hour/time.Microsecond) {
-		return 0, 0, errMalformed
+	micros, m := binary.Uvarint(body[n:])
+	if m <= 0 || micros > uint64(time.Hour/time.Microsecond) {
+		return 0, 0, false, errMalformed
 	}
-	return state, time.Duration(age) * time.Microsecond, nil
+	rest := body[n+m:]
+	return state, time.Duration(micros) * time.Microsecond, len(rest) > 0 && rest[0] == soundMark, nil
 }
 
+// soundMark ends the answer of a gateway that has had no trouble with the store of late.
+const soundMark = 1
+
 // answerPeer answers another process's question; a state that is not known yet with
 // nothing.
 func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, body []byte) ([]byte, error) {
@@ -218,20 +230,24 @@
 		if tree == nil {
 			return nil, nil
 		}
-		return stateWith(uint64(tree.Version), age), nil
+		return g.stateWith(uint64(tree.Version), age), nil
 	case askReplicas:
 		// The age is taken first: a change in between makes the state newer.
 		age, ok := g.validity.age(now)
 		if !ok {
 			return nil, nil
 		}
-		return stateWith(uint64(g.Fleet.Digest()), age), nil
+		return g.stateWith(uint64(g.Fleet.Digest()), age), nil
 	}
 	return nil, errMalformed
 }
 
 // stateWith is the inverse of stateOf; an age is rounded up.
-func stateWith(state uint64, age time.Duration) []byte {
+func (g *Gateway) stateWith(state uint64, age time.Duration) []byte {
 	out := binary.AppendUvarint(nil, state)
-	return binary.AppendUvarint(out, uint64(age/time.Microsecond)+1)
+	out = binary.AppendUvarint(out, uint64(age/time.Microsecond)+1)
+	if !g.Health.Doubtful(g.Clock.Now(), doubtTime) {
+		out = append(out, soundMark)
+	}
+	return out
 }
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -131,7 +131,7 @@
 	for i := range min(revalidateTries, len(peers)) {
 		peer := peers[(first+i)%len(peers)]
 		asked := g.Clock.Now()
-		state, age, err := g.askPeer(ctx, peer.Peers, stateKind)
+		state, age, _, err := g.askPeer(ctx, peer.Peers, stateKind)
 		if err != nil || !wanted(state) {
 			continue
 		}
--- a/internal/core/gateway/turned_away_test.go
+++ b/internal/core/gateway/turned_away_test.go
@@ -16,8 +16,9 @@
 // later it read that the record had gone. It took its own trouble for the store's, kept the
 // replica for 2 s as one that may register again, and all others went by its word.
 //
-// The cause: whether a vanished record is to be believed is told by the process's own calls, though
-// others had read the store, and had proved its records to this one, all the while.
+// The cause: whether a vanished record is to be believed was told by the process's own calls alone,
+// though others had read the store, and had proved its records to this one, all the while. The
+// doubt was about the store, and was kept as long as this process's own way to it was new.
 //
 // The evidence: the lines of that gateway, in a second play of the day: store lost at 2.64 s, records of
 // a peer at 8.54 s, store regained at 11.89 s, replica lapsed at 12.13 s, gone at 14.31 s; the
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -24,6 +24,10 @@
 	renewals uint64
 	// answered is when the store answered last.
 	answered time.Time
+	// elsewhere is as of when another process, which had no trouble with the store, last read
+	// it; renewed tells that the last return was that of an older copy.
+	elsewhere time.Time
+	renewed   bool
 }
 
 // Good notes a call that the store answered.
@@ -35,7 +39,17 @@
 		return
 	}
 	h.Log.Info("store regained", eventlog.Milliseconds("away", now.Sub(h.down)))
-	h.down, h.back = time.Time{}, now
+	h.down, h.back, h.renewed = time.Time{}, now, false
+}
+
+// Elsewhere notes that another process, which has had no trouble with the store of late, read
+// it at a time.
+func (h *Health) Elsewhere(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at.After(h.elsewhere) {
+		h.elsewhere = at
+	}
 }
 
 // Bad notes a call that the store did not answer, or refused. One that began
@@ -57,7 +71,7 @@
 func (h *Health) Renewed(t graniteknot.Topic, read graniteknot.Position, era graniteknot.Era, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.back = now
+	h.back, h.renewed = now, true
 	h.renewals++
 	h.Log.Warn("store renewed", slog.String("topic", string(t)), slog.Int64("era", int64(era)), slog.String("read_to", read.String()))
 }
@@ -69,11 +83,21 @@
 	return h.renewals
 }
 
-// Doubtful tells whether the store is away, or was within the given time.
+// recently is how long before the store's return another process may have read it last for the
+// trouble to have been this process's own: about the time between two reads.
+const recently = 1500 * time.Millisecond
+
+// Doubtful tells whether the store is away, or was within the given time. Where it only turned
+// this process away it was not: who takes its own trouble for the store's keeps what others know
+// to be gone, and in a large deployment tells it to those that go by its word.
 func (h *Health) Doubtful(now time.Time, within time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.down.IsZero() || !h.back.IsZero() && now.Sub(h.back) < within
+	if !h.down.IsZero() {
+		return true
+	}
+	own := !h.renewed && h.elsewhere.After(h.back.Add(-recently))
+	return !h.back.IsZero() && now.Sub(h.back) < within && !own
 }
 
 // Back returns when the store answered again after the last outage; false while
