What a replica says of rest and leaving is told to all gateways; one that turns two away is found out by one request of all

Change: words on rest and on leaving go the way of limits (told at once, by relays, with asks and to who starts), each under the life and ordered by when it was heard. A rest is the asked gateway's own; where a second one is asked and nobody was answered since, the replica takes nothing: permits of its home, one in five seconds, find out whether it does again, beside the gateways whose own rest is over. An answer ends it for all.

--- a/internal/core/fleet/limit_test.go
+++ b/internal/core/fleet/limit_test.go
@@ -19,7 +19,7 @@
 func TestLimitEndsByLaterAnswersOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := with("a")
-		table.OnOutbox(func() {})
+		table.OnOutbox(1, func() {})
 		now := time.Now()
 		first := table.Pick(&fleet.Query{Service: plain, Now: now})
 		second := table.Pick(&fleet.Query{Service: plain, Now: now})
@@ -27,7 +27,7 @@
 			t.Error("only the first word of a limit is new")
 		}
 		told, _ := table.Outbox(now)
-		if len(told) != 1 || !told[0].Limited || told[0].Rate != 2 {
+		if len(told) != 1 || !told[0].Holds || told[0].Rate != 2 {
 			t.Errorf("told %+v", told)
 		}
 		if second.Says(fleet.Word{Unlimited: true}, now.Add(time.Millisecond)) || len(table.Limits(now)) != 1 {
@@ -61,7 +61,7 @@
 	}
 	table.Put(catalog.Replica{ID: "b", Service: "s", Address: "b"}, now)
 	table.Remove("b")
-	if table.Told(&quota.Told{Key: quota.KeyOf(catalog.Life{ID: "b"}), Limited: true, Rate: 1}, now); len(table.Limits(now)) != 2 {
+	if table.Told(&quota.Told{Key: quota.KeyOf(catalog.Life{ID: "b"}), Holds: true, Rate: 1}, now); len(table.Limits(now)) != 2 {
 		t.Error("the limit of a life whose record is gone is forgotten")
 	}
 }
--- /dev/null
+++ b/internal/core/fleet/rest_test.go
@@ -0,0 +1,135 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/quota"
+)
+
+// gateways are many before the same replicas, in virtual time: what one tells the others hear at the
+// next step, and the first is the home of all limits.
+type gateways struct {
+	tables []*fleet.Table
+	home   quota.Home
+	now    time.Time
+	rng    *rand.Rand
+	// arrivals are the requests at each replica, by id.
+	arrivals map[string]int
+	refused  int
+}
+
+func newGateways(n int, ids ...string) *gateways {
+	g := &gateways{now: time.Now(), rng: rand.New(rand.NewPCG(uint64(n), 3)), arrivals: map[string]int{}}
+	for i := range n {
+		table := &fleet.Table{}
+		for _, id := range ids {
+			table.Put(replica(catalog.ReplicaID(id)), g.now.Add(-time.Hour))
+		}
+		table.OnOutbox(quota.Box(i), func() {})
+		g.tables = append(g.tables, table)
+	}
+	return g
+}
+
+// step has a request come at one gateway; says is what the replica answers.
+func (g *gateways) step(says func(id string) fleet.Word) {
+	g.now = g.now.Add(10 * time.Millisecond)
+	g.deliver()
+	table := g.tables[g.rng.IntN(len(g.tables))]
+	l := table.Pick(&fleet.Query{Service: plain, Now: g.now})
+	if l == nil {
+		g.refused++
+		return
+	}
+	id := string(l.Replica.ID)
+	g.arrivals[id]++
+	w := says(id)
+	later := g.now.Add(3 * time.Millisecond)
+	if w.Answered {
+		l.Heard(later)
+	}
+	l.Says(w, later)
+	l.End(fleet.VerdictGood, later)
+}
+
+func (g *gateways) deliver() {
+	for i, from := range g.tables {
+		told, asks := from.Outbox(g.now)
+		for j, to := range g.tables {
+			for k := range told {
+				if i != j {
+					to.Told(&told[k], g.now)
+				}
+			}
+		}
+		for k := range asks {
+			a := &asks[k]
+			rate, limited, known := g.tables[0].Takes(a.Key.Life(), g.now)
+			grant := quota.Grant{Key: a.Key}
+			if limited {
+				grant = g.home.Deal(g.now, a.Key.Life(), rate, "box", a.Want)
+			}
+			grant.Number, grant.Told = a.Number, known
+			from.Granted(&grant, g.now)
+		}
+	}
+}
+
+// TestReplicaThatTurnsAllAwayIsFoundOutOnce has one of three replicas refuse all and ask each
+// gateway for rest: two of them find that out for all, and after the rest one sees that it is over.
+func TestReplicaThatTurnsAllAwayIsFoundOutOnce(t *testing.T) {
+	for _, n := range []int{7, 149} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := newGateways(n, "a", "b", "c")
+			const rest = 3 * time.Second
+			sheds := func(id string) fleet.Word {
+				if id == "a" {
+					return fleet.Word{Rest: rest}
+				}
+				return fleet.Word{Answered: true, Unlimited: true}
+			}
+			for range 290 {
+				g.step(sheds)
+			}
+			if got := g.arrivals["a"]; got > 3 {
+				t.Errorf("%d requests at a replica that turns all away", got)
+			}
+			answers := func(string) fleet.Word { return fleet.Word{Answered: true, Unlimited: true} }
+			for range 600 {
+				g.step(answers)
+			}
+			clear(g.arrivals)
+			for range 300 {
+				g.step(answers)
+			}
+			if g.arrivals["a"] < 50 || g.refused > 0 {
+				t.Errorf("after the rest: %v of 300, %d refused", g.arrivals, g.refused)
+			}
+		})
+	}
+}
+
+// TestRestOfOneGatewayIsItsOwn has a replica turn one gateway away and answer the others: these
+// go on sending to it.
+func TestRestOfOneGatewayIsItsOwn(t *testing.T) {
+	g := newGateways(7, "a", "b")
+	one := g.tables[3].Pick(&fleet.Query{Service: plain, Now: g.now})
+	for one.Replica.ID != "a" {
+		one = g.tables[3].Pick(&fleet.Query{Service: plain, Now: g.now})
+	}
+	one.Says(fleet.Word{Rest: time.Minute}, g.now)
+	for range 300 {
+		g.step(func(string) fleet.Word { return fleet.Word{Answered: true, Unlimited: true} })
+	}
+	if g.arrivals["a"] < 60 {
+		t.Errorf("%v of 300", g.arrivals)
+	}
+	if g.tables[3].Rested(&fleet.Query{Service: plain, Now: g.now}) != 0 || len(g.tables[5].Limits(g.now)) > 1 {
+		t.Errorf("%+v", g.tables[5].Limits(g.now))
+	}
+}
--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -24,8 +24,9 @@
 	Leaving bool
 	// Limit is what it takes from all processes together.
 	Limit quota.Word
-	// Unlimited tells that the answer would name a limit if there were one, and names none.
-	Unlimited bool
+	// Answered tells that the replica ran the request, and Unlimited that it would have named a
+	// limit if there were one.
+	Answered, Unlimited bool
 }
 
 // word is what a life of a replica said to this process, in answers or in its record. It is
@@ -58,22 +59,18 @@
 	t := l.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := t.saysLimit(l.target, w, l.sent, now)
-	if w.Rest <= 0 && !w.Leaving {
-		return limit
+	changed := t.says(l.target, w, l.sent, now)
+	if w.Rest <= 0 {
+		return changed
 	}
 	known := t.wordOf(l.target, now)
 	before := *known
-	known.leaving = known.leaving || w.Leaving
-	if w.Rest > 0 {
-		known.unproved = true
-		// A shorter word that comes later, as answers of several requests do, ends no
-		// longer one.
-		if until := now.Add(w.Rest); until.After(known.rest) {
-			known.rest = until
-		}
+	known.unproved = true
+	// A shorter word that comes later, as answers of several requests do, ends no longer one.
+	if until := now.Add(w.Rest); until.After(known.rest) {
+		known.rest = until
 	}
-	return limit || known.leaving != before.leaving || known.unproved != before.unproved || !before.rest.After(now) && w.Rest > 0
+	return changed || !before.unproved || !before.rest.After(now)
 }
 
 // Allowed tells whether the replica may get a request now, which may have changed since it
@@ -156,7 +153,7 @@
 	var oldest *word
 	for life, w := range t.words {
 		registered := t.targets[life.ID] != nil && t.targets[life.ID].word == w
-		if !registered && !w.leaving && !w.rest.After(now) && !w.limit.part.Limited() {
+		if !registered && !w.leaving && !w.rest.After(now) && !w.limit.holds() {
 			delete(t.words, life)
 			continue
 		}
--- a/internal/core/forward/word.go
+++ b/internal/core/forward/word.go
@@ -17,9 +17,10 @@
 		// It is another replica's.
 		return
 	}
+	answered := r.said.Sealed && !r.said.NotRun
 	word := fleet.Word{
 		Rest: r.said.Rest, Leaving: r.said.Leaving, Limit: r.said.Limit,
-		Unlimited: r.said.Sealed && !r.said.NotRun && !r.said.Limit.Named && !r.said.Limit.Odd,
+		Answered: answered, Unlimited: answered && !r.said.Limit.Named && !r.said.Limit.Odd,
 	}
 	if l.Says(word, r.f.Clock.Now()) {
 		r.f.Log.Info("replica said", append(said(&r.said), slog.String("replica", l.Replica.Life().String()))...)
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -112,7 +112,7 @@
 		Budgets: &forward.Budgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
 	g.Quarantine.Changed = g.quarantineChanged
-	g.Fleet.OnOutbox(g.limitsDue)
+	g.Fleet.OnOutbox(quota.BoxOf(p.Config.Box), g.limitsDue)
 	return g
 }
 
--- a/internal/core/gateway/limits.go
+++ b/internal/core/gateway/limits.go
@@ -81,7 +81,7 @@
 
 // askLimit asks a limit's home for permits.
 func (g *Gateway) askLimit(a *fleet.LimitAsk, now time.Time) {
-	life := a.Told.Key.Life()
+	life := a.Key.Life()
 	home := g.limitHome(life, a.Silent/mostSilent, now)
 	g.countLimit("graniteknot_limit_asks_total", "sent", 1)
 	if a.Silent > 0 {
@@ -125,14 +125,16 @@
 
 // dealLimit answers an ask.
 func (g *Gateway) dealLimit(a *quota.Ask, box graniteknot.BoxName, now time.Time) quota.Grant {
-	g.tookLimit(&a.Told, now)
-	life := a.Told.Key.Life()
-	known := g.Fleet.Limit(life, now)
-	grant := quota.Grant{Key: a.Told.Key}
-	if known.Limited {
-		grant = g.Limits.Deal(now, life, known.Rate, box, a.Want)
-	}
-	grant.Number, grant.Told = a.Number, known
+	for i := range a.Told {
+		g.tookLimit(&a.Told[i], now)
+	}
+	life := a.Key.Life()
+	rate, limited, told := g.Fleet.Takes(life, now)
+	grant := quota.Grant{Key: a.Key}
+	if limited {
+		grant = g.Limits.Deal(now, life, rate, box, a.Want)
+	}
+	grant.Number, grant.Told = a.Number, told
 	g.countLimit("graniteknot_limit_permits_total", "dealt", grant.Count)
 	return grant
 }
@@ -175,8 +177,8 @@
 	if !g.Fleet.Told(w, now) {
 		return false
 	}
-	g.Log.Info("replica limit", slog.String("replica", w.Key.Life().String()), slog.Bool("limited", w.Limited),
-		slog.Float64("limit", float64(w.Rate)), eventlog.Milliseconds("age", time.Duration(w.Age)*time.Millisecond))
+	g.Log.Info("replica told", slog.String("replica", w.Key.Life().String()), slog.String("subject", w.Subject.String()),
+		slog.Bool("holds", w.Holds), slog.Float64("limit", float64(w.Rate)), eventlog.Milliseconds("age", time.Duration(w.Age)*time.Millisecond))
 	return true
 }
 
--- a/internal/core/quota/message.go
+++ b/internal/core/quota/message.go
@@ -30,22 +30,44 @@
 // Life returns the life.
 func (k Key) Life() catalog.Life { return catalog.Life{ID: k.ID, Born: k.Born} }
 
-// Told is what a life's answers said of its limit to the process that read them.
+// Subject is what is told of a life.
+type Subject uint8
+
+// The subjects.
+const (
+	// SubjectLimit is the limit that it names.
+	SubjectLimit Subject = iota
+	// SubjectRest is that it turned a request away and asked the process for rest, or that it
+	// answered one since.
+	SubjectRest
+	// SubjectLeaving is that it will end as planned.
+	SubjectLeaving
+)
+
+// Box is a short sum of a box's name.
+type Box uint32
+
+// Told is what a life's answers said of it to the process that read them.
 type Told struct {
-	_   struct{} `cbor:",toarray"`
-	Key Key
-	// Limited tells that there is a limit, which Rate is.
-	Limited bool
-	Rate    Rate
+	_       struct{} `cbor:",toarray"`
+	Key     Key
+	Subject Subject
+	// Holds tells that it is so, or no more.
+	Holds bool
+	// Rate is the limit.
+	Rate Rate
 	// Age is how long ago the last answer said so, in milliseconds.
 	Age int64
+	// By is the process that was turned away.
+	By Box
 }
 
 // Ask asks a limit's home for permits.
 type Ask struct {
 	_ struct{} `cbor:",toarray"`
-	// Told is what the asking process knows.
-	Told Told
+	// Key is the life, Told what the asking process knows of it.
+	Key  Key
+	Told []Told
 	// Number tells the asks of a process apart.
 	Number uint64
 	// Want is how many permits it can use soon.
@@ -65,8 +87,8 @@
 	Again int64
 	// Askers is how many processes ask.
 	Askers int
-	// Told is what the home knows of the limit.
-	Told Told
+	// Told is what the home knows of the life.
+	Told []Told
 }
 
 // Encode writes a message.
@@ -84,22 +106,33 @@
 	if err := cbor.Unmarshal(b, m); err != nil {
 		return nil, &Error{Op: "read message", Kind: KindMalformed, Err: err}
 	}
-	for i := range m.Told {
-		if !m.Told[i].sound() {
-			return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errNumber}
-		}
+	if !m.sound() {
+		return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errNumber}
 	}
+	return m, nil
+}
+
+func (m *Message) sound() bool {
 	for i := range m.Asks {
-		if a := &m.Asks[i]; !a.Told.sound() || a.Want < 0 {
-			return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errNumber}
+		if a := &m.Asks[i]; a.Key.ID == "" || a.Want < 0 || !sound(a.Told) {
+			return false
 		}
 	}
 	for i := range m.Grants {
 		if !m.Grants[i].sound() {
-			return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errNumber}
+			return false
 		}
 	}
-	return m, nil
+	return sound(m.Told)
+}
+
+func sound(list []Told) bool {
+	for i := range list {
+		if !list[i].sound() {
+			return false
+		}
+	}
+	return true
 }
 
 const (
@@ -111,10 +144,10 @@
 )
 
 func (t *Told) sound() bool {
-	return t.Key.ID != "" && t.Rate >= 0 && t.Rate <= mostRate && t.Age >= 0 && t.Age <= mostAge
+	return t.Key.ID != "" && t.Subject <= SubjectLeaving && t.Rate >= 0 && t.Rate <= mostRate && t.Age >= 0 && t.Age <= mostAge
 }
 
 func (g *Grant) sound() bool {
 	waits := min(g.From, g.Every, g.Again) >= 0 && max(g.From, g.Every, g.Again) <= mostWait
-	return waits && g.Told.sound() && g.Count >= 0 && g.Count <= mostHeld && g.Askers >= 0
+	return waits && g.Key.ID != "" && sound(g.Told) && g.Count >= 0 && g.Count <= mostHeld && g.Askers >= 0
 }
--- a/internal/core/watch/health_test.go
+++ b/internal/core/watch/health_test.go
@@ -23,9 +23,9 @@
 		renewed bool
 		want    bool
 	}{
-		"nobody read":                      {read: 0, want: true},
-		"another read before":              {read: 1, want: true},
-		"another read until the end":       {read: 9.2, want: false},
+		"nobody read":                       {read: 0, want: true},
+		"another read before":               {read: 1, want: true},
+		"another read until the end":        {read: 9.2, want: false},
 		"another read, but the copy is old": {read: 9.2, renewed: true, want: true},
 	} {
 		h := &watch.Health{}
