The soak has replicas that name limits for all gateways together, and checks the sum at them

Six gateways, some faults, limits of 1, 3 and 5 a second, in answers and refusals, with a stream of the seed of their own so that earlier seeds play as before.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -45,6 +45,7 @@
 		}
 	}
 	out = append(out, checkWords(w, calls)...)
+	out = append(out, checkLimits(w, calls)...)
 	return append(out, checkDeadly(ran)...)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,8 @@
 	Ends bool
 	// Words has replicas ask for rest, and say in their answers that they leave.
 	Words bool
+	// Limits has replicas name limits for all gateways together.
+	Limits bool
 	// Drills has the store come back from older copies of itself.
 	Drills bool
 	// Say is told each fault; nil for nobody.
@@ -116,6 +118,9 @@
 	if o.Words {
 		load.Go(func(context.Context) { w.moods(calling, rand.New(rand.NewPCG(o.Seed, wordsStream)).IntN) })
 	}
+	if o.Limits {
+		load.Go(func(context.Context) { w.limits(calling, rand.New(rand.NewPCG(o.Seed, limitsStream)).IntN) })
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
 	var findings []Finding
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,7 @@
 type story struct {
 	seed                uint64
 	ends, words, drills bool
+	limits              bool
 }
 
 // binary builds the program once for all tests.
@@ -45,6 +46,13 @@
 	return path
 }
 
+// limitedGateways and limitedFaults are how many processes and faults there are in plays with
+// limits.
+const (
+	limitedGateways = 6
+	limitedFaults   = 5
+)
+
 // gateways is how many processes there are; 0 for the usual number.
 func gateways() int {
 	n, err := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_GATEWAYS"))
@@ -54,13 +62,19 @@
 	return n
 }
 
-func play(t *testing.T, program string, seed uint64, faults int, span time.Duration, ends, words, drills bool) {
+func play(t *testing.T, program string, faults int, span time.Duration, x story) {
 	t.Helper()
-	var story []string
+	seed := x.seed
+	var told []string
 	dir := t.TempDir()
+	boxes := gateways()
+	if x.limits {
+		// A sum shows where many are told and few of them are touched by a fault.
+		boxes, faults = max(boxes, limitedGateways), min(faults, limitedFaults)
+	}
 	result, err := soak.Run(context.Background(), soak.Options{
-		Binary: program, Dir: dir, Seed: seed, Gateways: gateways(), Faults: faults, Span: span, Ends: ends, Words: words, Drills: drills,
-		Say: func(line string) { story = append(story, line) },
+		Binary: program, Dir: dir, Seed: seed, Gateways: boxes, Faults: faults, Span: span, Ends: x.ends, Words: x.words, Drills: x.drills,
+		Limits: x.limits, Say: func(line string) { told = append(told, line) },
 	})
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
@@ -70,7 +84,7 @@
 		t.Errorf("seed %d: %v", seed, f)
 	}
 	if t.Failed() {
-		t.Logf("%s", strings.Join(story, "\n"))
+		t.Logf("%s", strings.Join(told, "\n"))
 		keepLogs(t, dir, seed)
 	}
 }
@@ -90,7 +104,7 @@
 // TestSoak plays a short seed, and those that ever failed. GRANITEKNOT_SOAK is a
 // number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, each second one
 // with a request that ends replicas and odd records, two in three with replicas that ask for rest
-// or say that they leave, and half with drills of the store.
+// or say that they leave, half with drills of the store, and two in five with limits.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are not built with the race detector")
@@ -99,14 +113,15 @@
 	if count, _ := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_SEEDS")); count > 0 {
 		first, _ := strconv.ParseUint(os.Getenv("GRANITEKNOT_SOAK_SEED"), 10, 64)
 		for i := range uint64(count) {
-			play(t, program, first+i, 14, 20*time.Second, i%2 == 1, i%3 != 0, i%4 >= 2)
+			play(t, program, 14, 20*time.Second, story{seed: first + i, ends: i%2 == 1, words: i%3 != 0, drills: i%4 >= 2, limits: i%5 < 2})
 		}
 		return
 	}
-	play(t, program, 1, 8, 8*time.Second, false, false, false)
-	play(t, program, 2, 6, 16*time.Second, true, false, false)
-	play(t, program, 3, 4, 12*time.Second, false, true, true)
+	play(t, program, 8, 8*time.Second, story{seed: 1})
+	play(t, program, 6, 16*time.Second, story{seed: 2, ends: true})
+	play(t, program, 4, 12*time.Second, story{seed: 3, words: true, drills: true})
+	play(t, program, 4, 14*time.Second, story{seed: 4, limits: true})
 	for _, x := range failed {
-		play(t, program, x.seed, 14, 20*time.Second, x.ends, x.words, x.drills)
+		play(t, program, 14, 20*time.Second, x)
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -44,6 +44,8 @@
 	lives group.Group
 	// words are what replicas said in their answers.
 	words []word
+	// spells are when replicas named a limit.
+	spells []*spell
 	// probes are the calls that found out whether gateways serve.
 	probes []*call
 }
