Limited ranks of a lock-step group: its room is kept, who gets no permit in time is told at once; lines name permits

A group counts the ranks that may get nothing now for its room, since work for tokens is spread over all ranks: the others take more, as far as they have slots (TestLimitedRanksLeaveTheGroupsRoom). A wait whose permit lapsed ends. explain tells of limits and rest; attempts tell permit, limit and odd_limit.

--- a/internal/core/explain/cause.go
+++ b/internal/core/explain/cause.go
@@ -54,6 +54,11 @@
 	case "ends-replicas":
 		return fmt.Sprintf("kept from replicas: two or more ended under requests with the same path, account and body (identity %s; their lines: replica ended)",
 			l.Get("identity"))
+	case "replicas-limited":
+		return fmt.Sprintf("not run: all replicas of %s name how many requests they take from all gateways, and this one had no part of that in time (lines: replica told)",
+			l.Get("service"))
+	case "replicas-rest":
+		return fmt.Sprintf("not run: all replicas of %s had asked this gateway for rest (lines: replica said)", l.Get("service"))
 	case "retry-budget":
 		return "not tried again: the retry budget was used up"
 	}
--- a/internal/core/fleet/lease.go
+++ b/internal/core/fleet/lease.go
@@ -39,6 +39,8 @@
 	Waited time.Duration
 	// Trial tells that the replica had failed before.
 	Trial bool
+	// Permit tells that the replica takes only so many requests, and this one had a permit.
+	Permit bool
 }
 
 // Lease is one request's place at a replica.
--- a/internal/core/fleet/limit.go
+++ b/internal/core/fleet/limit.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/internal/core/quota"
 )
@@ -48,34 +47,6 @@
 	}
 }
 
-// outbox holds what is to be told to others. The table's lock guards it.
-type outbox struct {
-	told []quota.Told
-	// asking are the lives of which permits are wanted.
-	asking map[catalog.Life]struct{}
-	// ready tells the one who sends that there is something; self is what this process is
-	// called. Both are set before use.
-	ready func()
-	self  quota.Box
-}
-
-// OnOutbox sets what is called, without waiting and with the table's lock held, when
-// something is to be told or asked, and what the others call this process. Without it nothing
-// is, and the table is the home of all limits.
-func (t *Table) OnOutbox(self quota.Box, ready func()) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.outbox.self, t.outbox.ready = self, ready
-}
-
-// tell has something told to all; called with the lock held.
-func (t *Table) tell(w quota.Told) {
-	if t.outbox.ready != nil {
-		t.outbox.told = append(t.outbox.told, w)
-		t.outbox.ready()
-	}
-}
-
 // says takes in what an answer to a request that was sent at a time says of what its life takes,
 // and tells the others; it returns whether that is new. An answer ends only what was said before
 // its request was sent: answers pass one another. Called with the lock held.
@@ -235,56 +206,6 @@
 	return out
 }
 
-// Outbox returns what is to be told to all, and the permits to ask the limits' homes for. Each
-// ask also says how many before it had no answer.
-func (t *Table) Outbox(now time.Time) (told []quota.Told, asks []LimitAsk) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	told, t.outbox.told = t.outbox.told, nil
-	for life := range t.outbox.asking {
-		w := t.words[life]
-		if w == nil || !w.limit.part.Limited() {
-			delete(t.outbox.asking, life)
-			continue
-		}
-		want := w.limit.part.Due(now)
-		if want <= 0 {
-			continue
-		}
-		delete(t.outbox.asking, life)
-		ask := LimitAsk{Ask: quota.Ask{Key: quota.KeyOf(life), Told: w.tellings(life, now), Want: want}}
-		ask.Number, ask.Silent = w.limit.part.Asked(now)
-		asks = append(asks, ask)
-	}
-	return told, asks
-}
-
-// LimitAsk is an ask, and how many before it were not answered.
-type LimitAsk struct {
-	quota.Ask
-
-	Silent int
-}
-
-// Granted takes in a home's answer; false where it is not to the last ask, or came too late.
-func (t *Table) Granted(g *quota.Grant, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for i := range g.Told {
-		t.told(&g.Told[i], now)
-	}
-	life := g.Key.Life()
-	w := t.words[life]
-	if w == nil || !w.limit.part.Granted(g, now) {
-		return false
-	}
-	if x := t.targets[life.ID]; x != nil && x.replica.Life() == life {
-		t.dismiss(x.replica.Service, now)
-		t.serve(x.replica.Service, now)
-	}
-	return true
-}
-
 // limited tells whether this process may send the replica only what it has permits for. One that
 // the replica asked itself for rest, which is over, finds out by a request of its own whether
 // it takes any again.
@@ -299,90 +220,3 @@
 func (t *target) permitted(now time.Time) bool {
 	return !t.limited() || t.word.limit.part.Ready(now)
 }
-
-// want notes that a request could have gone to any of a service's limited replicas; called with
-// the lock held.
-func (t *Table) want(s graniteknot.Service, now time.Time) {
-	due := false
-	for _, x := range t.services[s] {
-		if !x.limited() || x.barred(now) {
-			continue
-		}
-		x.word.limit.part.Want(now)
-		if x.word.limit.part.Due(now) > 0 {
-			t.ask(x.replica.Life(), now)
-			due = true
-		}
-	}
-	if due && t.outbox.ready != nil {
-		t.outbox.ready()
-	}
-}
-
-// ask has permits asked for. A table without others to ask is the home of all limits.
-func (t *Table) ask(life catalog.Life, now time.Time) {
-	if t.outbox.ready == nil {
-		part := &t.words[life].limit.part
-		want := part.Due(now)
-		number, _ := part.Asked(now)
-		grant := t.home.Deal(now, life, part.Rate(), "", want)
-		grant.Number = number
-		part.Granted(&grant, now)
-		return
-	}
-	if t.outbox.asking == nil {
-		t.outbox.asking = map[catalog.Life]struct{}{}
-	}
-	t.outbox.asking[life] = struct{}{}
-}
-
-// Scarce tells whether all of a service's replicas that may be chosen are limited.
-func (t *Table) Scarce(s graniteknot.Service, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, scarce := t.scarce(s, now)
-	return scarce
-}
-
-// longestPlace bounds when a caller that is refused for want of a permit is told to come back.
-const longestPlace = 5 * time.Second
-
-// Place returns in how long a caller that is refused for want of a permit may come back: each
-// so much later than the one before as this process has permits, so that they do not all meet
-// at the first one.
-func (t *Table) Place(q *Query) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	perSecond, scarce := t.scarce(q.Service.Name, q.Now)
-	if !scarce {
-		return 0
-	}
-	if t.places == nil {
-		t.places = map[graniteknot.Service]time.Time{}
-	}
-	at := q.Now.Add(t.rested(q))
-	if next := t.places[q.Service.Name].Add(after(1, perSecond)); next.After(at) {
-		at = next
-	}
-	if last := q.Now.Add(longestPlace); at.After(last) {
-		at = last
-	}
-	t.places[q.Service.Name] = at
-	return at.Sub(q.Now)
-}
-
-// scarce tells whether all of a service's replicas that may be chosen are limited, and how many
-// requests a second this process may expect to send them; called with the lock held.
-func (t *Table) scarce(s graniteknot.Service, now time.Time) (perSecond float64, scarce bool) {
-	for _, x := range t.services[s] {
-		switch {
-		case x.barred(now):
-		case !x.limited():
-			return 0, false
-		default:
-			perSecond += x.word.limit.part.PerSecond()
-			scarce = true
-		}
-	}
-	return perSecond, scarce
-}
--- /dev/null
+++ b/internal/core/fleet/limited_group_test.go
@@ -0,0 +1,80 @@
+package fleet_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/fleet"
+	"graniteknot.org/go/internal/core/quota"
+)
+
+// limitedGroup is a group of four engines, all idle under an even map, some of which name a limit.
+func limitedGroup(limited int, rate quota.Rate, now time.Time) *fleet.Table {
+	table := group(4, fleet.Load{Running: 2, Pass: 30 * time.Millisecond, Forecast: fleet.Forecast{Skew: 2.2, Number: 1}}, now)
+	for i := range limited {
+		life := catalog.Life{ID: catalog.ReplicaID(rune('a' + i))}
+		table.Told(&quota.Told{Key: quota.KeyOf(life), Holds: true, Rate: rate}, now)
+	}
+	return table
+}
+
+// TestLimitedRanksLeaveTheGroupsRoom has two of four ranks take nothing: the others get what the
+// group bears, as far as they have slots.
+func TestLimitedRanksLeaveTheGroupsRoom(t *testing.T) {
+	now := time.Now()
+	all := taken(limitedGroup(0, 0, now), 1, now)
+	two := taken(limitedGroup(2, 0, now), 1, now)
+	if want := min(all, 2*(grouped.Engine.Slots-2)); two != want {
+		t.Errorf("%d requests with two limited ranks, %d without, %d wanted", two, all, want)
+	}
+}
+
+// TestGroupOfLimitedRanks has all four ranks take 2 a second while 40 a second come: most of what
+// they take is used, and whoever gets no permit in time is told at once.
+func TestGroupOfLimitedRanks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := limitedGroup(4, 2, time.Now())
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		served, late, longest := 0, 0, time.Duration(0)
+		const come = 400
+		for n := range come + 80 {
+			for i := range 4 {
+				id := catalog.ReplicaID(rune('a' + i))
+				table.Report(replica(id).Address, fleet.Load{Running: 1, Pass: 30 * time.Millisecond, Forecast: fleet.Forecast{Skew: 1.2, Number: 1}, Taken: time.Now()})
+			}
+			table.Watch(time.Now())
+			if n >= come {
+				// Who waits is still looked after.
+				time.Sleep(25 * time.Millisecond)
+				continue
+			}
+			wait.Go(func() {
+				now := time.Now()
+				q := &fleet.Query{Service: grouped, Gap: usefulGap, Now: now, Asked: now}
+				l := table.Acquire(context.Background(), q, fleet.Waiting{Aim: now.Add(500 * time.Millisecond), Last: now.Add(1500 * time.Millisecond)})
+				mu.Lock()
+				defer mu.Unlock()
+				if l == nil {
+					longest = max(longest, time.Since(now))
+					return
+				}
+				served++
+				if time.Since(now) > 500*time.Millisecond {
+					late++
+				}
+				l.Heard(time.Now())
+				l.End(fleet.VerdictGood, time.Now())
+			})
+			time.Sleep(25 * time.Millisecond)
+		}
+		wait.Wait()
+		if served < 60 || served > 80 || late > 0 || longest > 100*time.Millisecond {
+			t.Errorf("%d of 80 served, %d of them late; told after %v at the longest", served, late, longest)
+		}
+	})
+}
--- a/internal/core/fleet/pick.go
+++ b/internal/core/fleet/pick.go
@@ -87,7 +87,7 @@
 		l.risked, x.risked = true, q.Now
 	}
 	if x.limited() && x.word.limit.part.Take(q.Now) {
-		l.permit = q.Now
+		l.permit, l.Inputs.Permit = q.Now, true
 	}
 	x.own[l] = struct{}{}
 	if q.Service.Engine != nil {
--- a/internal/core/fleet/wait.go
+++ b/internal/core/fleet/wait.go
@@ -55,11 +55,11 @@
 		if x.barred(q.Now) || !x.limited() {
 			continue
 		}
-		permits += x.word.limit.part.By(by)
+		permits += x.word.limit.part.By(by, q.Now)
 		_, due := t.outbox.asking[x.replica.Life()]
 		soon = soon || due || x.word.limit.part.Answers(q.Now)
 	}
-	return permits > before || soon && q.Now.Before(by)
+	return q.Now.Before(by) && (permits > before || soon)
 }
 
 // ahead counts those who are served before a request: those who can be in time, and
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -263,6 +263,9 @@
 		slog.Int("own", in.Own), slog.Int("others", in.Others), slog.Int("room", in.Room), slog.Float64("skew", in.Skew), slog.Bool("trial", in.Trial),
 		eventlog.Milliseconds("pass", in.Pass), eventlog.Milliseconds("report_age", in.ReportAge), eventlog.Milliseconds("waited", in.Waited),
 	}
+	if in.Permit {
+		fields = append(fields, slog.Bool("permit", true))
+	}
 	fields = append(fields, said(&r.said)...)
 	if why == ReasonNone {
 		r.f.Log.Info("attempt", fields...)
--- a/internal/core/forward/word.go
+++ b/internal/core/forward/word.go
@@ -57,5 +57,8 @@
 	if m.Limit.Named {
 		out = append(out, slog.Float64("limit", float64(m.Limit.Rate)))
 	}
+	if m.Limit.Odd {
+		out = append(out, slog.Bool("odd_limit", true))
+	}
 	return out
 }
--- a/internal/core/quota/part.go
+++ b/internal/core/quota/part.go
@@ -152,8 +152,9 @@
 	return p.waits(now) && p.silent == 0 && now.Sub(p.asked) < 2*answered
 }
 
-// By counts the permits that will be valid by a time.
-func (p *Part) By(by time.Time) int {
+// By counts the permits that are valid, or will be by a time.
+func (p *Part) By(by, now time.Time) int {
+	p.prune(now)
 	n := 0
 	for _, x := range p.held {
 		if !x.from.After(by) {
