A gateway tells of services whose replicas take fewer connections than there are gateways; no wake-up of its own for limits

The sum of connections is kept as long as 0.8 of what a replica takes is one a gateway at least; below that each keeps one all the same (a row of docs/design/bounds.md, open).

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -91,11 +91,22 @@
 		g.servers.limit(newest.Limits)
 		g.forgetUnconfigured(newest)
 		g.serviceGauges(newest)
+		g.warnOfConnections(newest)
 		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
 			eventlog.Milliseconds("read_took", g.Clock.Since(began)))
 	}
 }
 
+// warnOfConnections tells of services whose replicas take fewer connections than there are
+// gateways: each keeps one all the same, and their sum may pass what a replica takes.
+func (g *Gateway) warnOfConnections(tree *catalog.Tree) {
+	for _, s := range tree.Services() {
+		if s.MaxConnections > 0 && connShare*float64(s.MaxConnections) < float64(g.gateways()) {
+			g.Log.Warn("too few connections", slog.String("service", string(s.Name)), slog.Int("connections", s.MaxConnections), slog.Int("gateways", g.gateways()))
+		}
+	}
+}
+
 // forgetUnconfigured takes out the replicas of services that a configuration does not name.
 func (g *Gateway) forgetUnconfigured(tree *catalog.Tree) {
 	for _, id := range g.Fleet.Unserved(func(s graniteknot.Service) bool { return tree.Service(s) != nil }) {
@@ -252,7 +263,7 @@
 
 // watchSilence moves requests away from replicas that are cut off.
 func (g *Gateway) watchSilence() {
-	g.limitsDue()
+	g.sendLimitsNow()
 	g.Forward.Expire()
 	changed, stuck := g.Fleet.Watch(g.Clock.Now())
 	for _, c := range changed {
