--- a/internal/core/quota/sum_test.go
+++ b/internal/core/quota/sum_test.go
@@ -27,8 +27,10 @@
 						p.demand(max(80, 3*float64(limit)), p.even)
 						fault(p)
 						p.run(lasting)
-						if worst, may := p.worst(warm); float64(worst) > may {
-							t.Errorf("seed %d: %d in %v, %g may come", seed, worst, window, may)
+						worst, may := p.worst(warm)
+						t.Logf("seed %d: %d in %v, %g may come", seed, worst, window, may)
+						if float64(worst) > may {
+							t.Errorf("seed %d: too many", seed)
 						}
 					}
 				})
--- a/knowledge_test.go
+++ b/knowledge_test.go
@@ -11,13 +11,20 @@
 
 // TestKnowledgeTable reads the table of what is known of others: each type and each test that
 // it names exists, so that it does not say what the code no longer does.
-func TestKnowledgeTable(t *testing.T) {
-	page, err := os.ReadFile("docs/design/knowledge.md")
+func TestKnowledgeTable(t *testing.T) { checkTable(t, "docs/design/knowledge.md", 9, 20) }
+
+// TestBoundsTable does the same with the table of bounds that hold over all boxes together.
+func TestBoundsTable(t *testing.T) { checkTable(t, "docs/design/bounds.md", 8, 14) }
+
+// checkTable reads a table whose second column names types, and whose last one names tests.
+func checkTable(t *testing.T, file string, columns, least int) {
+	t.Helper()
+	page, err := os.ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
 	types, tests := declared(t)
-	const columns, code, named = 9, 1, 8
+	const code = 1
 	rows := 0
 	quoted := regexp.MustCompile("`([^`]+)`")
 	for line := range strings.Lines(string(page)) {
@@ -31,7 +38,7 @@
 				t.Errorf("no type %s: %s", name[1], cells[0])
 			}
 		}
-		found := quoted.FindAllStringSubmatch(cells[named], -1)
+		found := quoted.FindAllStringSubmatch(cells[columns-1], -1)
 		if len(found) == 0 {
 			t.Errorf("no test: %s", cells[0])
 		}
@@ -41,7 +48,6 @@
 			}
 		}
 	}
-	const least = 20
 	if rows < least {
 		t.Errorf("%d rows were read", rows)
 	}
