--- a/internal/core/fleet/group.go
+++ b/internal/core/fleet/group.go
@@ -10,9 +10,8 @@
 
 // group is the engines of a service whose passes are made together: a lock-step group,
 // or all engines that are in none. Each has room of its own: one that forms, loads
-// experts or runs under an uneven map keeps nothing from the others. Where the worst group
-// bounded all three of 24 ranks, 434 of 560 streams ran 0.7 s after two of them had their
-// first map, and 250 of 700 that came were refused meanwhile. The table's lock guards it.
+// experts or runs under an uneven map keeps nothing from the others. The table's lock
+// guards it.
 type group struct {
 	name    string
 	targets []*target
@@ -167,9 +166,8 @@
 // admits tells whether the group as a whole may get one more request: work for
 // tokens is spread over all ranks, so where it is sent matters less than how much
 // there is. Reports are late, and every gateway sees the same places fall free: where
-// requests wait, or nothing is known yet, each keeps to its own part. Without that six
-// gateways sent 120 requests within 200 ms to a group that had just come back, and
-// passes took 130 to 195 ms for a second.
+// requests wait, or nothing is known yet, each keeps to its own part, so that a group
+// that has just come back does not get from each of them what it bears in all.
 func (s *standing) admits(q *Query, peers int, waiting bool) bool {
 	r, all, total := &s.room, float64(s.all), s.total()
 	if all+1 > total || q.late && all >= (1-reserved)*total {
--- a/internal/core/fleet/life.go
+++ b/internal/core/fleet/life.go
@@ -34,10 +34,9 @@
 // outlive finds out which records at an address are of lives that have ended: those that
 // no heartbeat has come to since the sidecar there told of another life. After a loss of
 // power replicas come back at the same addresses while the records of the
-// former ones stand for three heartbeats more; 315 requests were sent to these within
-// 0.8 s, since the new replica's report was taken for the old one's. A sidecar that did not
-// notice its replica's end keeps the next one back for a heartbeat. Called with the lock
-// held.
+// former ones stand for three heartbeats more, and would get requests, were the new
+// replica's report taken for the old one's. A sidecar that did not notice its replica's end
+// keeps the next one back for a heartbeat. Called with the lock held.
 func (t *Table) outlive(a graniteknot.Address) {
 	known, told := t.lives[a]
 	for _, x := range t.addresses[a] {
--- a/internal/core/fleet/opening.go
+++ b/internal/core/fleet/opening.go
@@ -7,14 +7,13 @@
 )
 
 // openingFor is how long after a group begins to take requests it counts as opening: what
-// waited meanwhile is served, and the first three or four maps have come into force, by
-// 2.5 s in logs of groups of 24 ranks.
+// waited meanwhile is served, and the first few maps have come into force.
 const openingFor = 3 * time.Second
 
 // closedHope is how long a service whose groups all tell that they do not run is waited
 // for. Groups open a second or two after a loss of power, and five after a rank's end; one
-// that has been closed for longer may have lost ranks for good. Before groups that never
-// form callers waited 1.5 s in vain at each try, which cost half of what was owed to them.
+// that has been closed for longer may have lost ranks for good, and its callers would wait
+// in vain at each try.
 const closedHope = 5 * time.Second
 
 // opening tells whether one of a service's groups has just begun to take requests, as
@@ -22,11 +21,8 @@
 // have waited since before, and those who come back because that ended their first
 // try, most of whom have no other left. Meanwhile all wait: how much the group bears by its
 // first passes says little, since it grows with each map, and those who are told at once that
-// they could not be in time come back 2 s later to engines that have room. Played with 42
-// gateways before 72 engines that open 1.2 s after a loss of power, 250 callers a second and 300 who
-// come back at once: 983 to 1,033 of 1,755 in time and 54 to 58 never served; 939 to 962 and
-// 91 to 94 where those foretold no place are refused and those who come back go first; with
-// both 942 to 987 and 76 to 85. Called with the lock held.
+// they could not be in time come back later to engines that have room. Called with the lock
+// held.
 func (t *Table) opening(s graniteknot.Service, now time.Time) bool {
 	for _, g := range t.groups[s] {
 		if !g.opened.IsZero() && now.Sub(g.opened) < openingFor {
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -15,10 +15,7 @@
 const crowded = 0.5
 
 // nearlyFull is the same for requests that have just come, of groups that have run for a
-// while. Gateways that each see the same few places left fill engines beyond their slots:
-// played with 42 before 72 engines at 550 requests a second for 6 s, which bear some 400, 1.6
-// requests an engine waited for a slot beside 8.7 that ran, and 408 of 3,320 callers had a
-// late first event by that; 0.7 and 187 with it, and 1,856 in time for 1,733.
+// while: gateways that each see the same few places left fill engines beyond their slots.
 const nearlyFull = 0.75
 
 // reserved is the part of the room that is kept from those who will be late, for
--- a/internal/core/fleet/room.go
+++ b/internal/core/fleet/room.go
@@ -8,8 +8,7 @@
 
 const (
 	// gapShare is the part of the longest useful pause that passes are meant to
-	// take; the rest is for the way to the caller, and for what is not foretold: in
-	// logs of 12 ranks the longest passes were 6 in 100 longer.
+	// take; the rest is for the way to the caller, and for what is not foretold.
 	gapShare = 0.90
 	// leastWriters is how many requests an engine gets however slow it is.
 	leastWriters = 2
@@ -20,10 +19,8 @@
 	// the platform states it.
 	loadingShare = 1.15
 	// firstSkew is taken for the skew of a group of which nothing is known, as after a
-	// start, until its keeper or its passes tell: the largest that was seen under the map
-	// that groups begin with, 3.25 to 3.5 on five deployments of 12 to 129 ranks. With
-	// leastWriters requests an engine in its place, 144 of the 430 that 72 engines bear,
-	// 470 of 1,000 requests were refused in the 1.4 s after three groups had opened.
+	// start, until its keeper or its passes tell: about the largest under the map that groups
+	// begin with.
 	firstSkew = 3.5
 	// slowPace is how many times slower than the fastest a replica has to be for
 	// passes to be foretold by how long they take, and not by the skew of the group.
@@ -33,9 +30,7 @@
 // room foretells how long the passes of a group of engines take. A pass takes a time of
 // its own, and as much longer as all ranks' writing and reading asks for, times
 // what unevenness makes of it. A stream lives for many passes, and a single one
-// that is too long makes it late, together with all others of the group. Without the
-// keeper's word on the skew, days of 12 ranks were worth 0.05 less (four days with
-// faults, two seeds each).
+// that is too long makes it late, together with all others of the group.
 type room struct {
 	engine *catalog.Engine
 	// longest is how long a pass may take for pauses to be useful; 0 is no bound.
@@ -124,9 +119,7 @@
 
 // cripples tells whether a rank that is so many times slower than the fastest makes
 // passes too long by a single request of its own: the group waits for the slowest
-// rank's own part of a pass, which one without requests does not have. At a twelfth of
-// its speed a rank kept passes at 300 ms until its last stream had ended, and at 53 ms
-// from then on.
+// rank's own part of a pass, which one without requests does not have.
 func (r *room) cripples(slower, running float64) bool {
 	if slower <= slowPace || r.engine.Experts == nil || r.longest <= 0 || r.assumed {
 		return false
--- a/internal/core/fleet/turn.go
+++ b/internal/core/fleet/turn.go
@@ -10,8 +10,7 @@
 
 // first returns the index of who is served next: the more urgent first, then those who
 // can still be in time, then the one whose aim is the earliest. Whoever comes back counts
-// its aim from its first try: played with 42 gateways, counting from the last one cost 40 to
-// 80 of 1,016 and 1,873 in time after a loss of power and at 1.4 times what engines bear.
+// its aim from its first try, since most have no other left.
 func (t turn) first(list []*waiter) int {
 	best := 0
 	for i := range list {
--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -32,8 +32,8 @@
 // word is what a life of a replica said to this process, in answers or in its record. It is
 // about the life, so it is kept under it, beside the record: a record may vanish and come
 // again, while the replica still rests or leaves. Kept with the request that it came with,
-// a word on rest bound nobody else: replicas that turn all away have no requests, are
-// chosen first for that, and got 176 of 597 attempts in 6 s, none of which ran.
+// a word on rest would bind nobody else: replicas that turn all away have no requests, and
+// are chosen first for that.
 type word struct {
 	// leaving lives never take anything new.
 	leaving bool
--- a/internal/core/forward/endings.go
+++ b/internal/core/forward/endings.go
@@ -16,7 +16,7 @@
 
 const (
 	// lookFor is for how long a look at an address counts: all requests at a replica lose
-	// their answers within 10 ms of its end, and it is back seconds later.
+	// their answers at once as it ends, and it is back much later.
 	lookFor = 200 * time.Millisecond
 	// lookTime bounds a look, lookPatience how long a request waits for one before it
 	// goes on elsewhere: a refused connection takes the way there and back.
--- a/internal/core/forward/giveup.go
+++ b/internal/core/forward/giveup.go
@@ -22,8 +22,7 @@
 
 // again is in how long the caller of a request that did not run may come back: as soon as a
 // replica will have rested that takes requests, where all rest, and those who wait will have
-// been served. What one replica asked for says nothing of the others: 34 callers that two
-// replicas had turned away came back 2.6 s later, while eight others had room.
+// been served. What one replica asked for says nothing of the others, which may have room.
 func (r *run) again(why Reason) time.Duration {
 	q := r.query()
 	if why == ReasonLimited {
--- a/internal/core/forward/quarantined.go
+++ b/internal/core/forward/quarantined.go
@@ -7,8 +7,8 @@
 )
 
 // Bounds on attempts and on retries end with a try of a request, and a caller's next try
-// has another id. A request that ends replicas would go on through all of them, at 4 s of
-// a lock-step group's time each. So what is learnt of it is kept under what all its tries
+// has another id. A request that ends replicas would go on through all of them, each time at
+// the cost of a lock-step group's stand. So what is learnt of it is kept under what all its tries
 // have in common, and looked at before each attempt, whichever process learnt it.
 
 // key returns what makes the request the same as another.
--- a/internal/core/forward/returns.go
+++ b/internal/core/forward/returns.go
@@ -9,10 +9,10 @@
 
 const (
 	// statedLeast is the least part of the longest wait of its route that a caller states
-	// on its first try: in logs of 5,500 requests these were spread evenly from 0.85 to 1.
+	// on its first try.
 	statedLeast = 0.85
-	// returnedBelow is the part below which a caller counts as coming back. Who was refused
-	// for want of room comes back after 1.8 s and more, where 8 s were stated.
+	// returnedBelow is the part below which a caller counts as coming back: it has
+	// waited for as long as callers are told to who were refused for want of room.
 	returnedBelow = 0.80
 	// mostRoutes bounds the routes that are remembered; beyond it all are learned anew.
 	mostRoutes = 4096
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -16,8 +16,8 @@
 	// while other gateways prove what is known.
 	probePeriod = 1500 * time.Millisecond
 	// rareProbe is the same for gateways that others read for, and doubtPatience for how
-	// long these rely on readers that answer and prove nothing: one question more. With
-	// 2 s a gateway sent a request to a replica 3.4 s after its end, where 3 s are allowed.
+	// long these rely on readers that answer and prove nothing: one question more, so that a
+	// replica that leaves gets nothing for too long.
 	rareProbe     = 4 * time.Second
 	doubtPatience = 300 * time.Millisecond
 	// settingsTrust is how old an answer on the configuration may be. A read waits
@@ -36,8 +36,7 @@
 
 // readers returns the gateways to ask in place of reading the store; nil when this one
 // has to read itself. The first reads, the next ones stand by: each asks those before
-// it, and reads while none of them proves anything. All others ask any of these. With
-// six that all read, reading was 7.6 calls a second, with one it is 1.3.
+// it, and reads while none of them proves anything. All others ask any of these.
 func (g *Gateway) readers(now time.Time) []presence.Member {
 	all := g.allReaders(now)
 	for i, m := range all {
@@ -91,8 +90,7 @@
 // mayCall tells whether this gateway is to call the store although others could prove
 // what it knows and did not. In a large deployment, where readers answer but prove
 // nothing, the store is away for them, and most likely for all: then it is called now
-// and then only. At 149 gateways that each call as often as a single one would, an outage
-// of 8 s made thousands of calls.
+// and then only: calls of all that each call as often as a single one would add up.
 func (g *Gateway) mayCall(kind presence.Kind, answered bool, now time.Time) bool {
 	if !g.many(now) {
 		return true
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -122,7 +122,7 @@
 	return p.state == uint64(g.Fleet.Digest())
 }
 
-// take takes records from a reader that has others: of 149 gateways 143 would else call
+// take takes records from a reader that has others: nearly all gateways would else call
 // the store at each change, each of them for all records.
 func (g *Gateway) take(ctx context.Context, p *proof, kind presence.Kind) ([]graniteknot.KeyedRecord, bool) {
 	records, err := g.socket.Fetch(ctx, p.reader.Peers, kind)
--- a/internal/core/gateway/young.go
+++ b/internal/core/gateway/young.go
@@ -10,9 +10,8 @@
 
 const (
 	// youngFor is how long after its start a gateway holds requests until it knows a
-	// configuration: the first read takes 0.2 to 0.4 s where all start at once. After a
-	// loss of power 82 requests were refused in that time on one day, most of them their
-	// callers' second and last try. Where the store is away they are refused after that
+	// configuration: about twice what the first read takes where all start at once. Most of
+	// those who come right after a loss of power have no other try left. Where the store is away they are refused after that
 	// time, and later ones at once.
 	youngFor = 700 * time.Millisecond
 	// youngLook is the time between two looks.
--- a/internal/core/presence/relay.go
+++ b/internal/core/presence/relay.go
@@ -11,8 +11,7 @@
 )
 
 // In a small deployment every process tells each gateway what it has to tell. That
-// grows with the square of the boxes: at 149 gateways and 129 sidecars each gateway
-// took in 300 KB a second, most of it from other availability zones. So in larger ones
+// grows with the square of the boxes, most of it from other availability zones. So in larger ones
 // a few gateways of each zone, the relays, are told, and these tell the gateways of
 // their zone in bundles. Nobody appoints relays: each gateway finds out whether it is
 // one from whom it knows, and says so; two that differ in what they know make one too
@@ -32,8 +31,8 @@
 	// may be lost.
 	relaySilence = 2 * time.Second
 	// mostFrozen bounds for how long the view of a gateway that no relay tells anything
-	// stays as it is. Without it a gateway whose relays have both ended would take all
-	// others for dead within 1.5 s, and all places of the engines for its own.
+	// stays as it is. Without it a gateway whose relays have both ended would soon take all
+	// others for dead, and all places of the engines for its own.
 	mostFrozen = 5 * time.Second
 )
 
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -20,7 +20,7 @@
 	// suspectFor is for how long a request is kept from replicas under which one ended that
 	// had answered nothing of it yet. A request that ends whoever begins it is among the
 	// few that had just begun, and comes again soon; the second end, which would tell it from
-	// the others, costs all callers of a lock-step group some 4 s. Of the others none had been
+	// the others, costs all callers of a lock-step group its stand. Of the others none had been
 	// answered anything, and their group stands for as long as their callers wait.
 	suspectFor = time.Minute
 	// mostEntries bounds a table: 100 KB.
--- a/internal/core/ranks/keeper.go
+++ b/internal/core/ranks/keeper.go
@@ -41,14 +41,12 @@
 	rollingLength = 200 * time.Millisecond
 	// patientLoad is how long one expert takes to load at least for a plan to wait
 	// for counts that hold nothing of before a change: about twice that wait. Where
-	// loading is faster, a map for a mixture is soon followed by another. At 77 ms an
-	// expert a group of 24 at full load was worth 0.68 with the wait and 0.77 without.
+	// loading is faster, a map for a mixture is soon followed by another.
 	// Where a keeper reaches its ranks over three steps, a switch takes half a second,
 	// which is five intervals: then plans wait however fast experts load.
 	patientLoad = 150 * time.Millisecond
 	// loadTime is how long a rank may load for one switch, if that is enough for
-	// one expert. Loading takes most of a switch; in the same replays, where one
-	// expert takes 98 ms, one left a skew of 1.60, three 1.71, twelve 2.10.
+	// one expert. Loading takes most of a switch, and interests move on meanwhile.
 	loadTime = 100 * time.Millisecond
 	// longestLoad bounds that time where passes are long. Interests move on
 	// meanwhile, but a rank that is many times slower than the others has to be
@@ -264,7 +262,7 @@
 
 // arms tells whether a decision arms ranks that the one before did not. Their answers
 // are as good as looks, and while ranks are armed every look makes the step come nearer
-// at which the group stands: in groups of 129 a look takes 20 ms.
+// at which the group stands.
 func (k *Keeper) arms(d *held.Decision) bool {
 	same := slices.Equal(d.Orders, k.given)
 	k.given = d.Orders
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -16,8 +16,8 @@
 	// 200 ms at the earliest, and twice as long after that.
 	callTime = 700 * time.Millisecond
 	// hedgeTime is when a call that is not answered is made once more beside it.
-	// Sidecars answer within some 10 ms, so by then a packet was lost or the
-	// sidecar does not run.
+	// Sidecars answer much sooner, so by then a packet was lost or the sidecar does
+	// not run.
 	hedgeTime = 90 * time.Millisecond
 	// mostCalls bounds the same calls at a time.
 	mostCalls = 3
--- a/internal/core/ranks/pace.go
+++ b/internal/core/ranks/pace.go
@@ -7,13 +7,10 @@
 	"graniteknot.org/go/expertmap/held"
 )
 
-// While orders come late, switches take 100 to 300 ms, each another time, and a group that
+// While orders come late, switches take long, each another time, and a group that
 // waits for one makes all of its streams late by a pause. paceDecay is what is kept, from
 // switch to switch, of the longest time that one has taken, and margin by how much longer
-// than that the next one may take. With four orders in ten late for 60 s a stand-in group of
-// 24 ranks stood for 6.4 to 7.1 s with 0.7 and no margin, for 3.6 to 4.2 s with 0.92 alone,
-// and for 1.3 to 1.8 s with both, at the same number of switches (99 to 108) and a skew that
-// is 0.01 to 0.08 larger.
+// than that the next one may take.
 const (
 	paceDecay = 0.92
 	margin    = 1.5
--- a/internal/core/ranks/pause.go
+++ b/internal/core/ranks/pause.go
@@ -41,8 +41,7 @@
 const givingTime = 150 * time.Millisecond
 
 // switching tells whether a map is being told to the ranks, or is about to be in force.
-// Sums of counts would hold that up on narrow links: at 6 Mbit/s and 129 ranks a switch
-// took 60 ms longer beside them.
+// Sums of counts would hold that up on narrow links.
 func (k *Keeper) switching(now time.Time) bool {
 	switch k.phase {
 	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing:
--- a/internal/core/ranks/sum.go
+++ b/internal/core/ranks/sum.go
@@ -14,8 +14,8 @@
 
 const (
 	// tallyTime bounds a keeper's question for the sum of a part, and waitShare is the
-	// part of its own time that a sidecar gives those that it asks. On a link of 6
-	// Mbit/s the sums of five branches, some 5 KB each, take 35 ms.
+	// part of its own time that a sidecar gives those that it asks. On a narrow link the
+	// sums of some branches, a few KB each, take a while.
 	tallyTime = 600 * time.Millisecond
 	waitShare = 0.65
 	// smallGroup is the most counts, of all ranks together, that a keeper reads
--- a/internal/core/ranks/threshold.go
+++ b/internal/core/ranks/threshold.go
@@ -23,13 +23,11 @@
 
 // switchGain is what a map has to gain in the skew of each set, beyond its moves,
 // to be worth a switch: one takes part of a second in which nothing else can be
-// switched to, and some passes wait for it. Trials on days of 63 ranks, where the
-// moves alone would make a switch worth it at a gain of 0.01, gave a worth of
-// 0.666 and 0.432 without it (quiet, full load), 0.794 and 0.771 with 0.08, 0.841
-// and 0.766 with 0.15.
+// switched to, and some passes wait for it. In large groups the moves alone would make
+// a switch worth it at next to no gain.
 const switchGain = 0.06
 
-// The group that the thresholds were measured on.
+// The group that the thresholds stand for.
 const (
 	measuredSize  = 2_200_000_000
 	measuredRanks = 12
@@ -37,7 +35,7 @@
 )
 
 // relativeCost is what loading an expert costs against what skew costs, compared
-// with the group that the thresholds were measured on: loading costs by its
+// with the group that the thresholds stand for: loading costs by its
 // bytes, skew by the requests of all ranks, and each set has its part of a pass.
 func relativeCost(e *catalog.Experts, ranks int) float64 {
 	if e.Size <= 0 {
--- a/internal/core/ranks/window.go
+++ b/internal/core/ranks/window.go
@@ -8,10 +8,8 @@
 
 const (
 	// changeTimes is by how many times more than usual an interval's counts have to
-	// differ from those before for requests to have turned to other experts. In
-	// recorded counts of three groups, intervals of 150 ms differed from the one
-	// before by 0.11 of all choices at the median, by 0.18 in 95 of 100, and by
-	// 0.3 to 0.6 after a shift.
+	// differ from those before for requests to have turned to other experts: well over
+	// what chance makes, and under what a shift does.
 	changeTimes = 2.2
 	// firstUsual bounds what the first interval takes for usual.
 	firstUsual = 0.15
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -147,8 +147,8 @@
 
 // alive tells whether the keeper that this sidecar does not hear is heard by others:
 // it is then busy, or the way from it is disturbed, and a new keeper would only begin
-// anew what it is doing. With one watcher's silence alone two boxes took turns, ten
-// times in 20 s, in a group of 129 ranks whose keeper's link was full.
+// anew what it is doing. By one watcher's silence alone two boxes may take turns where
+// a keeper's link is full.
 func (s *Sidecar) alive(r graniteknot.Rank, found *ranks.Found) bool {
 	fence, heard := s.doer.Fence()
 	silent := s.Clock.Since(heard)
--- a/internal/core/sidecar/life.go
+++ b/internal/core/sidecar/life.go
@@ -21,8 +21,7 @@
 const lifeRetry = 500 * time.Millisecond
 
 // lifeWatch knows which life of the own target answers. Asking is priced as a health
-// check, so it asks once a life: 72 questions cost 0.0002 of the worth of a day of 36 s.
-// The zero value knows nothing.
+// check, so it asks once a life. The zero value knows nothing.
 type lifeWatch struct {
 	mark  catalog.Mark
 	asked time.Time
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -194,8 +194,8 @@
 // due tells whether the next digest is to be told: at once when none was. Half a look
 // early is nearer to the period than half a look late. Without the first case nothing
 // is told until the group runs, since the time since the zero time plus half a look is
-// more than a Duration holds: after a loss of power 42 gateways sent 136 requests within
-// 0.2 s to 72 engines whose groups were still to form, and all were refused.
+// more than a Duration holds, and gateways send requests to engines whose groups are still
+// to form.
 func due(told time.Time, period time.Duration, now time.Time) bool {
 	return told.IsZero() || now.Sub(told) >= period-lookPeriod/2
 }
