A life whose record is read later has what was heard since the former one's last heartbeat: rest and limits

Which life answers shows in no answer, so a word of a life that begins under the former one's id was kept under the former one, and ended with it.

Change: on the next life's record what was heard after the former one's last heartbeat goes over; rest ends by itself, a limit with an answer. A word on leaving stays the former life's. TestWordOfALifeThatIsNotYetKnown failed before (rest, limit); two mutations found. The soak's drills have a replica leave right after one, before anybody writes what would heal a wrong position.

--- a/internal/core/fleet/rest_test.go
+++ b/internal/core/fleet/rest_test.go
@@ -137,3 +137,48 @@
 		t.Errorf("%+v", g.tables[5].Limits(g.now))
 	}
 }
+
+// What the soak saw: a replica asked a gateway for 4 s of rest and got 47 requests from it in the
+// last 2 s of these. The order of events: it had ended and lived again under its id; its new life
+// turned a request away that was sent before its record was read; with the record it was
+// another life, which had said nothing. Which life answers shows in no answer.
+
+// TestWordOfALifeThatIsNotYetKnown keeps what was heard since the former life's last heartbeat for
+// the next one, whose record is read later: rest and limits, which end by themselves. What was
+// heard before is the former life's, and so is a word on leaving.
+func TestWordOfALifeThatIsNotYetKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		word  fleet.Word
+		heard time.Duration
+		free  bool
+	}{
+		"rest, heard since":     {fleet.Word{Rest: time.Minute}, 2 * time.Second, false},
+		"rest, heard before":    {fleet.Word{Rest: time.Minute}, 500 * time.Millisecond, true},
+		"limit, heard since":    {named(0), 2 * time.Second, false},
+		"limit, heard before":   {named(0), 500 * time.Millisecond, true},
+		"leaving, heard since":  {fleet.Word{Leaving: true}, 2 * time.Second, true},
+		"leaving, heard before": {fleet.Word{Leaving: true}, 500 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			table := &fleet.Table{}
+			r := replica("a")
+			r.Written = 1
+			table.Put(r, began)
+			if c.heard < time.Second {
+				says(t, table, "a", c.word, began.Add(c.heard))
+			}
+			r.Written = 2
+			table.Put(r, began.Add(time.Second))
+			if c.heard > time.Second {
+				says(t, table, "a", c.word, began.Add(c.heard))
+			}
+			r.Born, r.Written = 7, 3
+			now := began.Add(3 * time.Second)
+			table.Put(r, now)
+			if got := table.Pick(&fleet.Query{Service: plain, Now: now}) != nil; got != c.free {
+				t.Errorf("the next life may be asked: %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -85,22 +85,16 @@
 		return false
 	}
 	old := t.targets[r.ID]
-	if old != nil && old.replica.Born != r.Born {
+	if old == nil {
+		t.add(r, now)
+		return true
+	}
+	if old.replica.Born != r.Born {
 		if r.Written < old.replica.Written {
 			return false
 		}
 		t.succeed(old)
-		old = nil
-	}
-	if old == nil {
-		added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
-		t.recall(added)
-		t.heedRecord(added, now)
-		t.targets[r.ID] = added
-		t.services[r.Service] = append(t.services[r.Service], added)
-		t.addresses[r.Address] = append(t.addresses[r.Address], added)
-		t.join(added)
-		t.settle(r.Address)
+		t.inherit(old, t.add(r, now), now)
 		return true
 	}
 	changed := old.replica.Draining != r.Draining || !old.lapsed.IsZero()
@@ -126,6 +120,19 @@
 	return changed
 }
 
+// add registers a replica; called with the lock held.
+func (t *Table) add(r catalog.Replica, now time.Time) *target {
+	added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
+	t.recall(added)
+	t.heedRecord(added, now)
+	t.targets[r.ID] = added
+	t.services[r.Service] = append(t.services[r.Service], added)
+	t.addresses[r.Address] = append(t.addresses[r.Address], added)
+	t.join(added)
+	t.settle(r.Address)
+	return added
+}
+
 // succeed takes out a life whose replica has begun another one under the same id. What is
 // known of it says nothing of the next, and what it has will not be answered: those requests
 // are moved with the next look at silent replicas. Called with the lock held.
@@ -182,16 +189,6 @@
 	return true
 }
 
-// without returns a list without one target; the list itself stays as it is.
-func without(list []*target, one *target) []*target {
-	for i, x := range list {
-		if x == one {
-			return append(list[:i:i], list[i+1:]...)
-		}
-	}
-	return list
-}
-
 // Lapse notes that a record vanished at a time at which the store can't be
 // trusted to know.
 func (t *Table) Lapse(id catalog.ReplicaID, now time.Time) bool {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -114,3 +114,13 @@
 	}
 	return max(0, t.load.Running+t.load.Waiting-known)
 }
+
+// without returns a list without one target; the list itself stays as it is.
+func without(list []*target, one *target) []*target {
+	for i, x := range list {
+		if x == one {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -39,6 +39,8 @@
 	leaving bool
 	// rest is until when the replica wants nothing; zero for never.
 	rest time.Time
+	// restHeard is when it last asked for rest.
+	restHeard time.Time
 	// unproved tells that no answer has come since the replica last asked for rest.
 	unproved bool
 	// gone tells that the life's record went, or that another life took its place, and beat
@@ -68,7 +70,7 @@
 	}
 	known := t.wordOf(l.target, now)
 	before := *known
-	known.unproved = true
+	known.unproved, known.restHeard = true, now
 	// A shorter word that comes later, as answers of several requests do, ends no longer one.
 	if until := now.Add(w.Rest); until.After(known.rest) {
 		known.rest = until
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -185,6 +185,16 @@
 		Name: "failures in a row end with the record", File: "internal/core/fleet/word.go", Old: "w.failures, w.until = x.failures, x.until", New: "w.failures = 0",
 		Package: "internal/core/fleet", Test: "TestFailuresOutliveRecords",
 	},
+	{
+		Name: "the next life forgets what was heard since the last heartbeat", File: "internal/core/fleet/table.go",
+		Old: "t.inherit(old, t.add(r, now), now)", New: "t.add(r, now)",
+		Package: "internal/core/fleet", Test: "TestWordOfALifeThatIsNotYetKnown",
+	},
+	{
+		Name: "the next life takes over whatever was heard", File: "internal/core/fleet/inherit.go",
+		Old: "since := from.registered\n\tif from.beat.After(since) {", New: "since := from.registered\n\tif false {",
+		Package: "internal/core/fleet", Test: "TestWordOfALifeThatIsNotYetKnown",
+	},
 }
 
 // TestMutationsAreFound takes each rule out and demands that its test notices: a check that
--- a/internal/soak/drill.go
+++ b/internal/soak/drill.go
@@ -24,6 +24,10 @@
 func (w *world) drills(ctx context.Context, gateways []*process, choose func(int) int) {
 	upTo := func(d time.Duration) time.Duration { return time.Duration(choose(int(d))) }
 	for ctx.Err() == nil {
+		if choose(2) == 0 {
+			w.leaveAfterDrill(ctx, gateways)
+			continue
+		}
 		dated := w.store.Records.Copy()
 		wait(ctx, drillPause/2+upTo(drillPause))
 		for _, g := range gateways {
@@ -38,6 +42,33 @@
 	}
 }
 
+// beatsLost is how many heartbeats of each replica a copy has not, so that what is written after its
+// return stands before where gateways had read to.
+const beatsLost = 20
+
+// leaveAfterDrill has the store come back from an older copy, and a replica say then that it leaves:
+// a gateway that went on where it had read to would not see that, and nobody writes anything
+// else until that would show.
+func (w *world) leaveAfterDrill(ctx context.Context, gateways []*process) {
+	dated := w.store.Records.Copy()
+	for range beatsLost {
+		w.rewrite()
+	}
+	// All have read these.
+	wait(ctx, drillPause)
+	for _, g := range gateways {
+		g.blindFor(drillAway)
+	}
+	w.store.Answer(http.StatusServiceUnavailable)
+	wait(ctx, drillAway/2)
+	w.store.Records.Restore(dated)
+	w.store.Answer(0)
+	if w.replace() == nil {
+		wait(ctx, drainTime+slack+drillPause)
+	}
+	w.rewrite()
+}
+
 // rewrite has operators and replicas write what they have written before.
 func (w *world) rewrite() {
 	w.mu.Lock()
