A gateway that starts asks others before its first configuration comes into force

Cause: after a drill, until operators have written again, the store shows a copy; a process that starts believed it for 0.5 s, until hellos told of a newer one, and keys that had been taken away worked there.

Change: once the first configuration was read one of the gateways that live is asked for its version, for 150 ms at most; a newer one comes into force first. Those that have just started as well say at once that they have none. The soak's drill of that kind has its operator write the configuration again within 0.75 s.

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -53,6 +53,7 @@
 		return
 	}
 	g.Trees.Show(newest.Version)
+	g.askBeforeFirst(newest.Version)
 	g.offer(newest, record, began)
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -93,6 +93,9 @@
 	bounds atomic.Pointer[directconf.Config]
 	// odd tells of records that can't be used.
 	odd eventlog.Sparse
+	// firstAsked tells that others were asked before the first configuration came into force;
+	// the settings' follower alone uses it.
+	firstAsked bool
 	// behind counts the looks since which another gateway has a newer configuration.
 	behind atomic.Int32
 	// stale tells that the last look found the configuration too old.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -195,6 +195,10 @@
 		Old: "since := w.beaten", New: "since := w.beaten.Add(-time.Hour)",
 		Package: "internal/core/fleet", Test: "TestWordOfALifeThatIsNotYetKnown",
 	},
+	{
+		Name: "a gateway that starts believes a store that is behind", File: "internal/core/gateway/follow.go", Old: "\tg.askBeforeFirst(newest.Version)\n", New: "",
+		Package: "internal/core/gateway", Test: "TestStartAfterADrillUsesNoOlderConfiguration", Says: "taken away",
+	},
 }
 
 // TestMutationsAreFound takes each rule out and demands that its test notices: a check that
--- a/internal/soak/drill.go
+++ b/internal/soak/drill.go
@@ -48,7 +48,7 @@
 
 // leaveAfterDrill has the store come back from an older copy, and a replica say then that it leaves:
 // a gateway that went on where it had read to would not see that, and nobody writes anything
-// else until that would show.
+// else about replicas until that would show.
 func (w *world) leaveAfterDrill(ctx context.Context, gateways []*process) {
 	dated := w.store.Records.Copy()
 	for range beatsLost {
@@ -63,6 +63,11 @@
 	wait(ctx, drillAway/2)
 	w.store.Records.Restore(dated)
 	w.store.Answer(0)
+	wait(ctx, drillRewrite/2)
+	// The operator writes again at once, as after each drill.
+	w.mu.Lock()
+	w.putConfig()
+	w.mu.Unlock()
 	if w.replace() == nil {
 		wait(ctx, drainTime+slack+drillPause)
 	}
