Words of registered lives are not pruned: their replicas would get no permits

Beyond 4,096 lives the oldest word went also where its replica is registered; a replica that names a limit could then not be asked for. By reading; the bound counts lives without a record now.

--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -9,8 +9,8 @@
 	"graniteknot.org/go/internal/core/quota"
 )
 
-// mostWords bounds the lives whose words are remembered; beyond it those go first that bind
-// no more, and then those that were said first.
+// mostWords bounds the lives without a record whose words are remembered; beyond it those go
+// first that bind no more, and then those that were said first.
 const mostWords = 4096
 
 // permitUse is for how long after it was taken a permit is good for sending the request.
@@ -169,8 +169,10 @@
 	var first catalog.Life
 	var oldest *word
 	for life, w := range t.words {
-		registered := t.targets[life.ID] != nil && t.targets[life.ID].word == w
-		if !registered && !w.leaving && !w.rest.After(now) && !w.limit.holds() {
+		if t.targets[life.ID] != nil && t.targets[life.ID].word == w {
+			continue
+		}
+		if !w.leaving && !w.rest.After(now) && !w.limit.holds() {
 			delete(t.words, life)
 			continue
 		}
