--- a/internal/core/fleet/limited_group_test.go
+++ b/internal/core/fleet/limited_group_test.go
@@ -40,7 +40,8 @@
 		table := limitedGroup(4, 2, time.Now())
 		var mu sync.Mutex
 		var wait sync.WaitGroup
-		served, late, longest := 0, 0, time.Duration(0)
+		served, late, refused, told, longest := 0, 0, 0, 0, time.Duration(0)
+		const atOnce = 20 * time.Millisecond
 		const come = 400
 		for n := range come + 80 {
 			for i := range 4 {
@@ -61,6 +62,10 @@
 				defer mu.Unlock()
 				if l == nil {
 					longest = max(longest, time.Since(now))
+					refused++
+					if time.Since(now) <= atOnce {
+						told++
+					}
 					return
 				}
 				served++
@@ -76,5 +81,8 @@
 		if served < 60 || served > 80 || late > 0 || longest > 100*time.Millisecond {
 			t.Errorf("%d of 80 served, %d of them late; told after %v at the longest", served, late, longest)
 		}
+		if 2*told <= refused {
+			t.Errorf("%d of %d refused within %v", told, refused, atOnce)
+		}
 	})
 }
--- a/internal/core/quota/sum_test.go
+++ b/internal/core/quota/sum_test.go
@@ -41,6 +41,9 @@
 						if float64(worst) > may {
 							t.Errorf("seed %d: too many", seed)
 						}
+						if used := p.used(warm, lasting); name == "home killed" && boxes <= 42 && used < 0.5 {
+							t.Errorf("seed %d: %.2f used while homes end", seed, used)
+						}
 					}
 				})
 			}
