Sight: whose read proves a configuration, who told it, and for how long a gateway was behind

The incident's logs could not tell whether a gateway went by its own read, by a reader's or by one that had it from others. Answers between gateways name the gateway that read, lines of versions and refusals tell it, and a gateway that is told of a newer version than its own says so once. No decision is changed.

--- a/internal/core/explain/cause.go
+++ b/internal/core/explain/cause.go
@@ -31,13 +31,25 @@
 	case "no-configuration":
 		return "not run: the gateway had no configuration yet"
 	case "no-route":
-		return fmt.Sprintf("no route for %s%s in version %s", l.Get("host"), l.Get("path"), l.Get("version"))
+		return fmt.Sprintf("no route for %s%s in version %s%s", l.Get("host"), l.Get("path"), l.Get("version"), under(l))
 	case "unknown-key":
-		return "the key is in no account of version " + l.Get("version")
+		return "the key is in no account of version " + l.Get("version") + under(l)
 	}
 	return fmt.Sprintf("refused with %s: %s", l.Get("status"), l.Get("reason"))
 }
 
+// under tells how sure a refusing gateway was of its version.
+func under(l *Line) string {
+	text := ""
+	if l.Get("read_by") != "" {
+		text = fmt.Sprintf(", read by %s %s ms before and told by %s", l.Get("read_by"), l.Get("version_age_ms"), l.Get("proved_by"))
+	}
+	if behind := l.Get("behind_ms"); behind != "" && behind != "0" {
+		text += fmt.Sprintf("; another gateway was known to have a newer one for %s ms", behind)
+	}
+	return text
+}
+
 // ended tells the last word on a request that has no answer.
 func ended(l *Line) string {
 	switch l.Get("reason") {
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -49,19 +49,22 @@
 func (g *Gateway) takeSettings(records []graniteknot.KeyedRecord, began time.Time) {
 	newest, record := g.newestTree(records)
 	if newest == nil {
-		g.Trees.Unchanged(began)
+		if g.Trees.Unchanged(began) {
+			from := g.ownRead()
+			g.settingsFrom.Store(&from)
+		}
 		return
 	}
 	g.Trees.Show(newest.Version)
 	g.askBeforeFirst(newest.Version)
-	g.offer(newest, record, began)
+	g.offer(newest, record, began, g.ownRead())
 }
 
 // handSettings takes the configuration that another gateway has, which it proved at a time.
 // It says nothing of what the store shows.
-func (g *Gateway) handSettings(records []graniteknot.KeyedRecord, at time.Time) {
+func (g *Gateway) handSettings(records []graniteknot.KeyedRecord, at time.Time, from source) {
 	if newest, record := g.newestTree(records); newest != nil {
-		g.offer(newest, record, at)
+		g.offer(newest, record, at, from)
 	}
 }
 
@@ -81,21 +84,46 @@
 }
 
 // offer takes a configuration into force unless a newer one is.
-func (g *Gateway) offer(newest *catalog.Tree, record graniteknot.KeyedRecord, began time.Time) {
+func (g *Gateway) offer(newest *catalog.Tree, record graniteknot.KeyedRecord, began time.Time, from source) {
+	former, _ := g.Trees.Current(began)
 	changed, err := g.Trees.Offer(newest, began)
 	if err != nil {
 		g.Log.Warn("configuration refused", slog.Int64("version", int64(newest.Version)), slog.String("error", err.Error()))
 		return
 	}
+	g.settingsFrom.Store(&from)
 	if changed {
 		g.shared.putSettings(record)
 		g.servers.limit(newest.Limits)
 		g.forgetUnconfigured(newest)
 		g.serviceGauges(newest)
 		g.warnOfConnections(newest)
-		g.Log.Info("configuration", slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
-			eventlog.Milliseconds("read_took", g.Clock.Since(began)))
+		g.logInForce(former, newest, began, from)
+	}
+}
+
+// logInForce tells that a configuration came into force, from whom, and for how long another
+// gateway was known to have a newer one.
+func (g *Gateway) logInForce(former, newest *catalog.Tree, began time.Time, from source) {
+	now := g.Clock.Now()
+	behind, by := g.newer.taken(newest.Version, now)
+	fields := []slog.Attr{
+		slog.Int64("version", int64(newest.Version)), slog.Int("routes", newest.RouteCount()),
+		eventlog.Milliseconds("read_took", now.Sub(began)), slog.String("by", string(from.by)), slog.String("read_by", string(from.reader)),
+	}
+	if former != nil {
+		fields = append(fields, slog.Int64("former", int64(former.Version)))
+	}
+	if by != "" {
+		fields = append(fields, eventlog.Milliseconds("behind", behind), slog.String("told_by", string(by)))
+	}
+	g.Log.Info("configuration", fields...)
+	way := "peer"
+	if from == g.ownRead() {
+		way = "store"
 	}
+	g.Meter.Count("graniteknot_configurations_total", meter.Label{Name: "from", Value: way})
+	g.Meter.Observe("graniteknot_configuration_lag_seconds", behind)
 }
 
 // warnOfConnections tells of services whose replicas take fewer connections than there are
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -96,6 +96,10 @@
 	// firstAsked tells that others were asked before the first configuration came into force;
 	// the settings' follower alone uses it.
 	firstAsked bool
+	// newer knows of the newest configuration that others have; settingsFrom is the source of
+	// the last proof of this one's.
+	newer        newer
+	settingsFrom atomic.Pointer[source]
 	// behind counts the looks since which another gateway has a newer configuration.
 	behind atomic.Int32
 	// stale tells that the last look found the configuration too old.
@@ -107,6 +111,7 @@
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	g := &Gateway{Parts: p, met: make(chan struct{}), due: make(chan struct{}, 1)}
 	g.bounds.Store(p.Config)
+	g.settingsFrom.Store(&source{})
 	g.Health.Log = p.Log
 	g.Fleet.Clock, g.Pool.Clock = p.Clock, p.Clock
 	g.Forward = forward.Forwarder{
--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -104,6 +104,7 @@
 	if g.Members.Heard(m, now) {
 		g.greetLimits(m.Self)
 	}
+	g.toldVersion(m.Settings, m.Box, now)
 	g.bundler.Take(m, now)
 	if m.Self != nil {
 		g.compareQuarantine(m)
@@ -116,6 +117,7 @@
 // told takes what a relay passes on.
 func (g *Gateway) told(m *presence.Message, now time.Time) {
 	g.Members.Told(m, now)
+	g.toldVersion(m.Bundle.Settings, m.Box, now)
 	for i := range m.Bundle.Reports {
 		r := &m.Bundle.Reports[i]
 		d := m.Bundle.Digest(r)
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"errors"
 	"log/slog"
 	"time"
@@ -48,18 +47,19 @@
 
 // proof is what a reader proves of a topic.
 type proof struct {
-	reader presence.Member
-	// state is that of the topic as of at.
-	state uint64
-	at    time.Time
+	// from is the reader that was asked; standing is what it answered, as of at.
+	from presence.Member
+	standing
+	at time.Time
 	// unread tells that the reader knows no state yet.
 	unread bool
 	// answered tells that a reader answered, but proved nothing.
 	answered bool
-	// sound tells that the reader has had no trouble with the store of late.
-	sound bool
 }
 
+// source is whose read the proof is, and who told it.
+func (p *proof) source() source { return source{p.from.Box, p.reader} }
+
 // revalidateSettings tells whether a reader proves that the tree is the newest, or
 // hands on a newer one.
 func (g *Gateway) revalidateSettings(ctx context.Context) bool {
@@ -75,6 +75,7 @@
 	tree, age := g.Trees.Current(now)
 	switch {
 	case tree != nil && p.state == uint64(tree.Version):
+		g.settingsFrom.Store(&source{p.from.Box, p.reader})
 		return g.Trees.Prove(tree.Version, p.at)
 	case tree != nil && p.state < uint64(tree.Version):
 		// The reader has yet to see what this gateway was told by another one.
@@ -84,7 +85,7 @@
 	if !ok {
 		return false
 	}
-	g.handSettings(records, p.at)
+	g.handSettings(records, p.at, p.source())
 	tree, _ = g.Trees.Current(now)
 	return tree != nil && uint64(tree.Version) >= p.state
 }
@@ -125,9 +126,9 @@
 // take takes records from a reader that has others: nearly all gateways would else call
 // the store at each change, each of them for all records.
 func (g *Gateway) take(ctx context.Context, p *proof, kind presence.Kind) ([]graniteknot.KeyedRecord, bool) {
-	records, err := g.socket.Fetch(ctx, p.reader.Peers, kind)
+	records, err := g.socket.Fetch(ctx, p.from.Peers, kind)
 	if err != nil {
-		g.Log.Warn("records of a reader", slog.String("reader", string(p.reader.Box)), slog.String("error", err.Error()))
+		g.Log.Warn("records of a reader", slog.String("reader", string(p.from.Box)), slog.String("error", err.Error()))
 		return nil, false
 	}
 	g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "taken"})
@@ -157,62 +158,43 @@
 	for i := range min(revalidateTries, len(readers)) {
 		reader := readers[(first+i)%len(readers)]
 		asked := g.Clock.Now()
-		state, age, sound, err := g.askPeer(ctx, reader.Peers, kind)
+		told, err := g.askPeer(ctx, reader.Peers, kind)
 		if errors.Is(err, errUnread) {
-			return proof{reader: reader, unread: true}, true
+			return proof{from: reader, unread: true}, true
 		}
 		answered = answered || err == nil
-		at := asked.Add(-age)
+		at := asked.Add(-told.age)
 		if err == nil && g.Clock.Since(at) < trust {
 			g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "proved"})
 			g.validity.prefer(first + i)
 			g.validity.doubt(kind, false, asked)
-			return proof{reader: reader, state: state, at: at, sound: sound}, true
+			return proof{from: reader, standing: told, at: at}, true
 		}
 		g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "doubted"})
 		if err == nil || ctx.Err() == nil {
 			g.Log.Info("reader doubted", slog.String("reader", string(reader.Box)), slog.Int("kind", int(kind)),
-				eventlog.Milliseconds("age", g.Clock.Since(at)), slog.Any("error", err))
+				eventlog.Milliseconds("age", g.Clock.Since(at)), slog.String("read_by", string(told.reader)), slog.Any("error", err))
 		}
 	}
 	return proof{answered: answered}, false
 }
 
-// askPeer asks a gateway for the state of a topic and its age, and whether it has had no trouble
-// with the store of late.
-func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (state uint64, age time.Duration, sound bool, err error) {
+// askPeer asks a gateway for the state of a topic.
+func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (standing, error) {
 	short, cancel := context.WithTimeout(ctx, revalidateTime)
 	defer cancel()
 	body, err := g.socket.Ask(short, to, kind, nil)
 	if err != nil {
-		return 0, 0, false, err
+		return standing{}, err
 	}
 	if len(body) == 0 {
-		return 0, 0, false, errUnread
+		return standing{}, errUnread
 	}
-	return stateOf(body)
+	return decodeStanding(body)
 }
 
 var errMalformed = errors.New("malformed answer")
 
-// stateOf reads an answer: a state, its age in microseconds, and whether the one who tells it is
-// sound. Gateways of earlier builds do not say, and count as not sound.
-func stateOf(body []byte) (state uint64, age time.Duration, sound bool, err error) {
-	state, n := binary.Uvarint(body)
-	if n <= 0 {
-		return 0, 0, false, errMalformed
-	}
-	micros, m := binary.Uvarint(body[n:])
-	if m <= 0 || micros > uint64(time.Hour/time.Microsecond) {
-		return 0, 0, false, errMalformed
-	}
-	rest := body[n+m:]
-	return state, time.Duration(micros) * time.Microsecond, len(rest) > 0 && rest[0] == soundMark, nil
-}
-
-// soundMark ends the answer of a gateway that has had no trouble with the store of late.
-const soundMark = 1
-
 // answerPeer answers another process's question; a state that is not known yet with
 // nothing.
 func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, body []byte) ([]byte, error) {
@@ -230,24 +212,20 @@
 		if tree == nil {
 			return nil, nil
 		}
-		return g.stateWith(uint64(tree.Version), age), nil
+		return g.standing(uint64(tree.Version), age, g.settingsFrom.Load().reader), nil
 	case askReplicas:
 		// The age is taken first: a change in between makes the state newer.
 		age, ok := g.validity.age(now)
 		if !ok {
 			return nil, nil
 		}
-		return g.stateWith(uint64(g.Fleet.Digest()), age), nil
+		return g.standing(uint64(g.Fleet.Digest()), age, ""), nil
 	}
 	return nil, errMalformed
 }
 
-// stateWith is the inverse of stateOf; an age is rounded up.
-func (g *Gateway) stateWith(state uint64, age time.Duration) []byte {
-	out := binary.AppendUvarint(nil, state)
-	out = binary.AppendUvarint(out, uint64(age/time.Microsecond)+1)
-	if !g.Health.Doubtful(g.Clock.Now(), doubtTime) {
-		out = append(out, soundMark)
-	}
-	return out
+// standing is this gateway's answer on a topic.
+func (g *Gateway) standing(state uint64, age time.Duration, reader graniteknot.BoxName) []byte {
+	s := standing{state: state, age: age, sound: !g.Health.Doubtful(g.Clock.Now(), doubtTime), reader: reader}
+	return s.encode()
 }
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -120,19 +120,21 @@
 // replicasElsewhere takes the replicas' records from a gateway that knows others.
 func (g *Gateway) replicasElsewhere(ctx context.Context) bool {
 	other := func(state uint64) bool { return state != uint64(g.Fleet.Digest()) }
-	return g.elsewhere(ctx, askReplicas, askReplicasPart, other, g.handReplicas)
+	return g.elsewhere(ctx, askReplicas, askReplicasPart, other, func(records []graniteknot.KeyedRecord, at time.Time, _ source) {
+		g.handReplicas(records, at)
+	})
 }
 
 // elsewhere asks gateways in turn for what they know, and takes the records of the
 // first whose state is wanted.
-func (g *Gateway) elsewhere(ctx context.Context, stateKind, partKind presence.Kind, wanted func(uint64) bool, take func([]graniteknot.KeyedRecord, time.Time)) bool {
+func (g *Gateway) elsewhere(ctx context.Context, stateKind, partKind presence.Kind, wanted func(uint64) bool, take func([]graniteknot.KeyedRecord, time.Time, source)) bool {
 	peers := g.Members.Living(presence.RoleGateway, g.Config.Box, g.Clock.Now())
 	first := rand.IntN(max(1, len(peers)))
 	for i := range min(revalidateTries, len(peers)) {
 		peer := peers[(first+i)%len(peers)]
 		asked := g.Clock.Now()
-		state, age, _, err := g.askPeer(ctx, peer.Peers, stateKind)
-		if err != nil || !wanted(state) {
+		told, err := g.askPeer(ctx, peer.Peers, stateKind)
+		if err != nil || !wanted(told.state) {
 			continue
 		}
 		records, err := g.socket.Fetch(ctx, peer.Peers, partKind)
@@ -140,8 +142,8 @@
 			g.Log.Warn("records of a peer", slog.String("peer", string(peer.Box)), slog.String("error", err.Error()))
 			continue
 		}
-		g.Log.Info("records of a peer", slog.String("peer", string(peer.Box)), slog.Int("records", len(records)), eventlog.Milliseconds("age", age))
-		take(records, asked.Add(-age))
+		g.Log.Info("records of a peer", slog.String("peer", string(peer.Box)), slog.Int("records", len(records)), eventlog.Milliseconds("age", told.age))
+		take(records, asked.Add(-told.age), source{peer.Box, told.reader})
 		return true
 	}
 	return false
--- a/internal/core/gateway/young.go
+++ b/internal/core/gateway/young.go
@@ -51,24 +51,24 @@
 	peers := g.Members.Living(presence.RoleGateway, g.Config.Box, g.Clock.Now())
 	for _, i := range rand.Perm(len(peers))[:min(revalidateTries, len(peers))] {
 		asked := g.Clock.Now()
-		state, age, _, err := g.askPeer(ctx, peers[i].Peers, askSettings)
+		told, err := g.askPeer(ctx, peers[i].Peers, askSettings)
 		if err != nil {
 			continue
 		}
-		if state > uint64(shown) {
-			g.takeNewer(ctx, &peers[i], asked.Add(-age), shown)
+		if told.state > uint64(shown) {
+			g.takeNewer(ctx, &proof{from: peers[i], standing: told, at: asked.Add(-told.age)}, shown)
 		}
 		return
 	}
 }
 
 // takeNewer takes the configuration of a gateway that has a newer one than the store shows.
-func (g *Gateway) takeNewer(ctx context.Context, peer *presence.Member, at time.Time, shown catalog.Version) {
-	records, err := g.socket.Fetch(ctx, peer.Peers, askSettingsPart)
+func (g *Gateway) takeNewer(ctx context.Context, p *proof, shown catalog.Version) {
+	records, err := g.socket.Fetch(ctx, p.from.Peers, askSettingsPart)
 	if err != nil {
-		g.Log.Warn("newer configuration", slog.String("peer", string(peer.Box)), slog.String("error", err.Error()))
+		g.Log.Warn("newer configuration", slog.String("peer", string(p.from.Box)), slog.String("error", err.Error()))
 		return
 	}
-	g.Log.Warn("store behind", slog.String("peer", string(peer.Box)), slog.Int64("shown", int64(shown)))
-	g.handSettings(records, at)
+	g.Log.Warn("store behind", slog.String("peer", string(p.from.Box)), slog.Int64("shown", int64(shown)))
+	g.handSettings(records, p.at, p.source())
 }
