--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"graniteknot.org/go/internal/core/watch"
 	"graniteknot.org/go/internal/delay"
 	"graniteknot.org/go/internal/group"
+	"graniteknot.org/go/internal/hostnet"
 )
 
 const (
@@ -49,6 +50,8 @@
 	Born  graniteknot.Incarnation
 	// Clock is what ages, leases and deadlines are decided by.
 	Clock graniteknot.AgeClock
+	// Network opens the gateway's addresses; nil for the machine's own.
+	Network graniteknot.Network
 }
 
 // Gateway is the process. Make it with New.
@@ -108,10 +111,14 @@
 
 // New returns a gateway that does nothing until Start.
 func New(p Parts) *Gateway {
+	if p.Network == nil {
+		p.Network = hostnet.Network{}
+	}
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	g := &Gateway{Parts: p, met: make(chan struct{}), due: make(chan struct{}, 1)}
 	g.bounds.Store(p.Config)
 	g.settingsFrom.Store(&source{})
+	g.servers.network = p.Network
 	g.Health.Log = p.Log
 	g.Fleet.Clock, g.Pool.Clock = p.Clock, p.Clock
 	g.Forward = forward.Forwarder{
@@ -127,14 +134,14 @@
 // Start opens the addresses and begins the gateway's own work.
 func (g *Gateway) Start(ctx context.Context) error {
 	c := g.Config
-	socket, err := presence.Listen(ctx, c.Peers, c.Box, g.Born, g.Log, g.heard)
+	conn, err := g.Network.ListenPacket(ctx, c.Peers)
 	if err != nil {
 		return err
 	}
-	g.socket = socket
 	g.started = g.Clock.Now()
-	g.census = presence.Census{Socket: socket, View: &g.Members, Self: g.self(), From: g.readersPeers, Clock: g.Clock}
-	socket.Respond(g.answerPeer)
+	g.socket = presence.NewSocket(conn, c.Box, g.Born, g.Log, g.heard)
+	g.census = presence.Census{Socket: g.socket, View: &g.Members, Self: g.self(), From: g.readersPeers, Clock: g.Clock}
+	g.socket.Respond(g.answerPeer)
 	if err := g.listen(ctx); err != nil {
 		return err
 	}
--- a/internal/core/gateway/servers.go
+++ b/internal/core/gateway/servers.go
@@ -25,6 +25,8 @@
 // limits begins a new http.Server, which takes the connections from then on;
 // those that are open stay with the server that took them.
 type servers struct {
+	network graniteknot.Network
+
 	mu sync.Mutex
 	// handler answers callers' requests.
 	handler http.Handler
@@ -51,8 +53,7 @@
 }
 
 func (s *servers) listen(ctx context.Context, a graniteknot.Address) (net.Listener, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp4", string(a))
+	listener, err := s.network.Listen(ctx, a)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/core/presence/socket.go
+++ b/internal/core/presence/socket.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -10,6 +9,7 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/group"
+	"graniteknot.org/go/internal/hostnet"
 )
 
 // largest is the largest datagram that is read.
@@ -19,7 +19,7 @@
 type Socket struct {
 	box  graniteknot.BoxName
 	born graniteknot.Incarnation
-	conn *net.UDPConn
+	conn graniteknot.PacketConn
 	// sequence counts the datagrams of this life.
 	sequence atomic.Uint64
 	// sent and received count bytes of datagrams.
@@ -37,16 +37,20 @@
 	parsed map[graniteknot.Address]netip.AddrPort
 }
 
-// Listen opens the socket and hands each datagram to take.
+// Listen opens a socket on the machine's own network and hands each datagram to take.
 func Listen(ctx context.Context, a graniteknot.Address, box graniteknot.BoxName, born graniteknot.Incarnation, log *eventlog.Log, take func(*Message)) (*Socket, error) {
-	var config net.ListenConfig
-	conn, err := config.ListenPacket(ctx, "udp4", string(a))
+	conn, err := hostnet.Network{}.ListenPacket(ctx, a)
 	if err != nil {
 		return nil, err
 	}
-	s := &Socket{box: box, born: born, conn: conn.(*net.UDPConn), parsed: map[graniteknot.Address]netip.AddrPort{}} //nolint:forcetypeassert // "udp4" gives no other.
+	return NewSocket(conn, box, born, log, take), nil
+}
+
+// NewSocket returns a socket that hands each datagram of a connection to take.
+func NewSocket(conn graniteknot.PacketConn, box graniteknot.BoxName, born graniteknot.Incarnation, log *eventlog.Log, take func(*Message)) *Socket {
+	s := &Socket{box: box, born: born, conn: conn, parsed: map[graniteknot.Address]netip.AddrPort{}}
 	s.group.Go(func(context.Context) { s.read(log, take) })
-	return s, nil
+	return s
 }
 
 func (s *Socket) read(log *eventlog.Log, take func(*Message)) {
