--- /dev/null
+++ b/internal/core/gateway/virtual_rig_test.go
@@ -0,0 +1,305 @@
+package gateway_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/directconf"
+	"graniteknot.org/go/internal/core/gateway"
+	"graniteknot.org/go/internal/core/meter"
+	"graniteknot.org/go/internal/standin/keyed"
+	"graniteknot.org/go/internal/standin/network"
+	"graniteknot.org/go/platform"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+const (
+	// storeCall bounds a call to the store beside the time that it was asked to wait, as the
+	// platform's client does.
+	storeCall = 1200 * time.Millisecond
+	// rigDelay is the time on the way between boxes, rigStore that of an answer of the store.
+	rigDelay = 1400 * time.Microsecond
+	rigStore = 4 * time.Millisecond
+)
+
+// access is what a box gets of the store.
+type access int
+
+const (
+	accessOpen access = iota
+	// accessSilent gets no answer, accessRefused a refusal, accessReset a broken connection.
+	accessSilent
+	accessRefused
+	accessReset
+)
+
+// storeWay is one box's way to the store.
+type storeWay struct {
+	graniteknot.KeyedStore
+
+	mu     sync.Mutex
+	access access
+	// took is how long an answer takes beside what it waited for.
+	took  time.Duration
+	calls int
+	// changed is closed when the access changes.
+	changed chan struct{}
+}
+
+func newWay(s graniteknot.KeyedStore) *storeWay {
+	return &storeWay{KeyedStore: s, took: rigStore, changed: make(chan struct{})}
+}
+
+// set changes the access. Calls that wait for an answer meanwhile never get one.
+func (w *storeWay) set(a access) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.access = a
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// call makes a call that waits for at most a time.
+func (w *storeWay) call(ctx context.Context, wait time.Duration, do func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeCall)
+	defer cancel()
+	w.mu.Lock()
+	w.calls++
+	how, took, changed := w.access, w.took, w.changed
+	w.mu.Unlock()
+	switch how {
+	case accessOpen:
+	case accessSilent:
+		<-ctx.Done()
+		return ctx.Err()
+	case accessRefused:
+		time.Sleep(rigStore)
+		return fmt.Errorf("refused: %w", graniteknot.ErrNotDone)
+	case accessReset:
+		return net.ErrClosed
+	}
+	inner, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan error, 1)
+	var caller sync.WaitGroup
+	caller.Go(func() { done <- do(inner) })
+	defer caller.Wait()
+	defer stop()
+	select {
+	case err := <-done:
+		return w.late(ctx, took, err)
+	case <-changed:
+		return w.lost(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// late hands an answer over after the time on its way.
+func (w *storeWay) late(ctx context.Context, took time.Duration, err error) error {
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// lost waits for an answer that was under way when the access changed.
+func (w *storeWay) lost(ctx context.Context) error {
+	w.mu.Lock()
+	how := w.access
+	w.mu.Unlock()
+	if how == accessReset || how == accessRefused {
+		return net.ErrClosed
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Newest implements graniteknot.KeyedStore.
+func (w *storeWay) Newest(ctx context.Context, t graniteknot.Topic) (page graniteknot.KeyedPage, err error) {
+	err = w.call(ctx, 0, func(ctx context.Context) error {
+		var err error
+		page, err = w.KeyedStore.Newest(ctx, t)
+		return err
+	})
+	return page, err
+}
+
+// Read implements graniteknot.KeyedStore.
+func (w *storeWay) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (page graniteknot.KeyedPage, err error) {
+	err = w.call(ctx, wait, func(ctx context.Context) error {
+		var err error
+		page, err = w.KeyedStore.Read(ctx, t, from, wait)
+		return err
+	})
+	return page, err
+}
+
+// Append implements graniteknot.KeyedStore.
+func (w *storeWay) Append(ctx context.Context, t graniteknot.Topic, r graniteknot.KeyedRecord) (at graniteknot.Position, err error) {
+	err = w.call(ctx, 0, func(ctx context.Context) error {
+		var err error
+		at, err = w.KeyedStore.Append(ctx, t, r)
+		return err
+	})
+	return at, err
+}
+
+// virtualBox is a gateway in virtual time.
+type virtualBox struct {
+	*gateway.Gateway
+
+	config *directconf.Config
+	way    *storeWay
+	clock  suspended
+	// away tells that the box is or was disturbed: nothing is asked of it.
+	away atomic.Bool
+}
+
+// virtualFleet is gateways, their network and their store in virtual time. It is used within a
+// bubble of testing/synctest.
+type virtualFleet struct {
+	t     *testing.T
+	net   network.Network
+	store keyed.Store
+	boxes []*virtualBox
+	lives int
+	// version is the last that was written; host is that of its routes.
+	version int
+	keys    []string
+}
+
+func newVirtualFleet(t *testing.T, n int, change func(*directconf.Config)) *virtualFleet {
+	t.Helper()
+	f := &virtualFleet{t: t, net: network.Network{Delay: rigDelay}}
+	f.write("first")
+	for i := range n {
+		f.boxes = append(f.boxes, f.box(i, change))
+	}
+	for _, b := range f.boxes {
+		f.start(b)
+	}
+	return f
+}
+
+// box returns a box that is not started.
+func (f *virtualFleet) box(i int, change func(*directconf.Config)) *virtualBox {
+	ip := fmt.Sprintf("10.%d.%d.%d", 1+i%3, i/250, 1+i%250)
+	c := &directconf.Config{
+		Role: directconf.RoleGateway, Box: graniteknot.BoxName(fmt.Sprintf("entry-%d", i)), Zone: graniteknot.AvailabilityZone(fmt.Sprintf("z%d", i%3)),
+		Requests: graniteknot.Address(ip + ":1"), Readiness: graniteknot.Address(ip + ":2"),
+		Directory: graniteknot.Address(ip + ":3"), Peers: graniteknot.Address(ip + ":4"),
+		KeyAge: 5 * time.Second, Drain: 3 * time.Second, Stop: 10 * time.Second, AnswerLife: 5 * time.Second,
+		RetryPercent: 20, RetryExtra: 90, Readers: 6,
+	}
+	if change != nil {
+		change(c)
+	}
+	return &virtualBox{config: c, way: newWay(&f.store)}
+}
+
+// start begins a life of a box.
+func (f *virtualFleet) start(b *virtualBox) {
+	f.t.Helper()
+	f.lives++
+	b.Gateway = gateway.New(gateway.Parts{
+		Config: b.config, Store: b.way, Translator: platform.Dialect{}, Meter: meter.New(),
+		Born: graniteknot.Incarnation(f.lives), Clock: graniteknot.AgeClock{Suspension: &b.clock}, Network: &f.net,
+	})
+	if err := b.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// stop ends all boxes.
+func (f *virtualFleet) stop() {
+	var all sync.WaitGroup
+	for _, b := range f.boxes {
+		all.Go(b.kill)
+	}
+	all.Wait()
+}
+
+// kill ends a box without the patience of a planned stop.
+func (b *virtualBox) kill() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b.Stop(ctx)
+}
+
+// write puts a version with one key more into the store.
+func (f *virtualFleet) write(key string) {
+	f.version++
+	f.keys = append(f.keys, key)
+	f.store.Put(graniteknot.TopicSettings, "config", platformtest.Config(f.version, "h.example", "s", f.keys))
+}
+
+// ask sends one request with a key to a box and returns its status; 0 for none.
+func (f *virtualFleet) ask(b *virtualBox, key string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(ctx context.Context, _, _ string) (net.Conn, error) { return f.net.Dial(ctx, b.config.Requests) },
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://h.example/repeat/x", http.NoBody)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	platformtest.Sign(r, "a1", key)
+	x, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = x.Body.Close()
+	return x.StatusCode
+}
+
+// inForce is the version that a box has in force; 0 for none.
+func (b *virtualBox) inForce() int {
+	tree, _ := b.Trees.Current(b.Clock.Now())
+	if tree == nil {
+		return 0
+	}
+	return int(tree.Version)
+}
+
+// suspended is for how long a box was suspended; the zero value never was.
+type suspended struct {
+	mu  sync.Mutex
+	all time.Duration
+}
+
+// Suspended implements graniteknot.Suspension.
+func (s *suspended) Suspended() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all
+}
+
+// Exact implements graniteknot.Suspension.
+func (s *suspended) Exact() time.Duration { return s.Suspended() }
+
+// inOrder returns the boxes in the order in which they read for all.
+func (f *virtualFleet) inOrder() []*virtualBox {
+	out := slices.Clone(f.boxes)
+	slices.SortFunc(out, func(a, b *virtualBox) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.config.Box)), xxhash.Sum64String(string(b.config.Box)))
+	})
+	return out
+}
