A gateway that the store does not answer reads for no other; the next one takes its place

Callers saw 404 on routes, and 401 for keys, of versions acknowledged up to 3.6 s before, at gateways that the store answered, where it turned another one away (the incident).

Cause: the first of six gateways read for all, and went on doing so by name when the store did not answer it. It took from the next one what that had read, and proved it to that one with its own read's age, so the next one read once in 3.15 s and nobody in between. That age of 3.15 s, 3.3 s at the others, and 0.4 s between two questions is more than the 3.0 s in which a version has to be in force, so a read that hangs was enough without the circle.

Ruled out: taking what others have failed now and then (malformed, 0.03 to 0.92 s), which does not add up to 3 s.

Now a gateway whose call failed, or is overdue by 0.3 s (three times what the store takes, where that is more), says so at once; all put it behind the others in the order of those that read, and the next one follows the store as the first did. A read for others waits 1.0 s for a change, not 1.5, and an answer is trusted for 2.4 s by those that stand by and 2.8 s by others.

--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -15,8 +15,11 @@
 
 const (
 	// settingsWait is how long one read of the settings waits for a change. Each
-	// read proves that the tree is the newest, so it bounds the tree's age.
+	// read proves that the tree is the newest, so it bounds the tree's age. readerWait is the
+	// same for a gateway that reads for others: it bounds for how long a read may hang
+	// before another gateway reads.
 	settingsWait = 1500 * time.Millisecond
+	readerWait   = time.Second
 	// settingsSpacing is the least time between two reads: a change is seen so much later
 	// at most, a tenth of the time in which it has to be in force.
 	settingsSpacing = 200 * time.Millisecond
@@ -38,9 +41,9 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, Wait: settingsWait, Spacing: settingsSpacing,
+		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, WaitNow: g.waitForSettings, Spacing: settingsSpacing,
 		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause, Early: true,
-		Renewed: func(graniteknot.Era) { g.Trees.Renew() },
+		Renewed: func(graniteknot.Era) { g.Trees.Renew() }, Vital: true, Wake: g.settingsWake,
 	}
 	f.Run(ctx)
 }
@@ -148,7 +151,7 @@
 	f := watch.Follower{
 		Store: g.Store, Topic: graniteknot.TopicReplicas, Health: &g.Health, Clock: g.Clock, Pause: time.Duration(replicasShare * float64(g.Config.Drain)),
 		Newest: g.resetReplicas, Next: g.takeReplicas, Revalidate: g.revalidateReplicas, Elsewhere: g.replicasElsewhere, RevalidatePause: revalidatePause, Early: true,
-		Urgent: func() bool { return g.Fleet.Doubted(g.Clock.Now()) },
+		Urgent: func() bool { return g.Fleet.Doubted(g.Clock.Now()) }, Vital: true, Wake: g.replicasWake,
 	}
 	f.Run(ctx)
 }
@@ -293,6 +296,7 @@
 // watchSilence moves requests away from replicas that are cut off.
 func (g *Gateway) watchSilence() {
 	g.sendLimitsNow()
+	g.tellLost()
 	g.Forward.Expire()
 	changed, stuck := g.Fleet.Watch(g.Clock.Now())
 	for _, c := range changed {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -99,6 +99,11 @@
 	// firstAsked tells that others were asked before the first configuration came into force;
 	// the settings' follower alone uses it.
 	firstAsked bool
+	// lost is what was last told of the store; lostChanges counts what was heard of others.
+	lost        atomic.Bool
+	lostChanges atomic.Uint64
+	// settingsWake and replicasWake end the pauses of those that follow the store.
+	settingsWake, replicasWake chan struct{}
 	// newer knows of the newest configuration that others have; settingsFrom is the source of
 	// the last proof of this one's.
 	newer        newer
@@ -115,7 +120,10 @@
 		p.Network = hostnet.Network{}
 	}
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
-	g := &Gateway{Parts: p, met: make(chan struct{}), due: make(chan struct{}, 1)}
+	g := &Gateway{
+		Parts: p, met: make(chan struct{}), due: make(chan struct{}, 1),
+		settingsWake: make(chan struct{}, 1), replicasWake: make(chan struct{}, 1),
+	}
 	g.bounds.Store(p.Config)
 	g.settingsFrom.Store(&source{})
 	g.servers.network = p.Network
--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -56,11 +56,17 @@
 // greeting is what this gateway tells of itself.
 func (g *Gateway) greeting() presence.Message {
 	self := g.self()
-	hello := presence.Message{Ready: g.ready(), Self: &self, Relay: g.relaying.Load(), Quarantine: g.Quarantine.Digest()}
+	hello := presence.Message{Ready: g.ready(), Self: &self, Relay: g.relaying.Load(), Quarantine: g.Quarantine.Digest(), Lost: g.lost.Load()}
+	hello.Settings = g.version()
+	return hello
+}
+
+// version is that of the configuration in force; 0 for none.
+func (g *Gateway) version() uint64 {
 	if tree, _ := g.Trees.Current(g.Clock.Now()); tree != nil {
-		hello.Settings = uint64(tree.Version)
+		return uint64(tree.Version)
 	}
-	return hello
+	return 0
 }
 
 // everybody returns where all other processes take datagrams.
@@ -82,7 +88,7 @@
 	}
 	to := g.Members.InZone(g.self())
 	for i := range bundles {
-		g.socket.Send(presence.Message{Ready: g.ready(), Relay: true, Bundle: &bundles[i]}, to)
+		g.socket.Send(presence.Message{Ready: g.ready(), Relay: true, Settings: g.version(), Lost: g.lost.Load(), Bundle: &bundles[i]}, to)
 	}
 }
 
@@ -105,6 +111,7 @@
 		g.greetLimits(m.Self)
 	}
 	g.toldVersion(m.Settings, m.Box, now)
+	g.heardOfReaders()
 	g.bundler.Take(m, now)
 	if m.Self != nil {
 		g.compareQuarantine(m)
@@ -117,7 +124,8 @@
 // told takes what a relay passes on.
 func (g *Gateway) told(m *presence.Message, now time.Time) {
 	g.Members.Told(m, now)
-	g.toldVersion(m.Bundle.Settings, m.Box, now)
+	g.toldVersion(max(m.Settings, m.Bundle.Settings), m.Box, now)
+	g.heardOfReaders()
 	for i := range m.Bundle.Reports {
 		r := &m.Bundle.Reports[i]
 		d := m.Bundle.Digest(r)
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/readers"
 )
 
 const (
@@ -20,12 +19,12 @@
 	// replica that leaves gets nothing for too long.
 	rareProbe     = 4 * time.Second
 	doubtPatience = 300 * time.Millisecond
-	// settingsTrust is how old an answer on the configuration may be. A read waits
-	// for 1.5 s and proves what was in force at its begin, so a reader's own age is
-	// at most a little more than twice that. A gateway that stands by reads itself a
-	// little before the others trust a reader no more.
-	settingsTrust   = 3300 * time.Millisecond
-	standbySettings = 3150 * time.Millisecond
+	// standbySettings is how old an answer on the configuration may be to a gateway that stands
+	// by: the age at which the one that reads has a read overdue, which proved what was in force
+	// at the begin of the one before. settingsTrust is the same for all others, which may ask one
+	// that stands by.
+	standbySettings = 2*readerWait + 400*time.Millisecond
+	settingsTrust   = standbySettings + revalidatePause
 	// replicasTrust is the same on the replicas, as a part of the time after which a
 	// leaving replica must get nothing: the time between two reads and that between two
 	// questions, of a reader that stands by and of the asker. A gateway that stands by
@@ -35,8 +34,8 @@
 )
 
 // readers returns the gateways to ask in place of reading the store; nil when this one
-// has to read itself. The first reads, the next ones stand by: each asks those before
-// it, and reads while none of them proves anything. All others ask any of these.
+// has to read itself. The first that the store answers reads, the next ones stand by: each asks
+// those before it, and reads while none of them proves anything. All others ask any of these.
 func (g *Gateway) readers(now time.Time) []presence.Member {
 	all := g.allReaders(now)
 	for i, m := range all {
@@ -55,11 +54,48 @@
 	if most == 0 || len(all) <= 2*most {
 		return nil
 	}
-	// The order is the same for all, and spreads over the availability zones.
-	slices.SortFunc(all, func(a, b presence.Member) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.Box)), xxhash.Sum64String(string(b.Box)))
-	})
-	return all[:most]
+	return readers.Order(all, func(box graniteknot.BoxName) bool {
+		if box == g.Config.Box {
+			return g.Health.Lost(now)
+		}
+		return g.Members.Lost(box)
+	})[:most]
+}
+
+// wakeFollowers has those that follow the store look at once who reads it.
+func (g *Gateway) wakeFollowers() {
+	for _, c := range []chan struct{}{g.settingsWake, g.replicasWake} {
+		select {
+		case c <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// tellLost tells the others at once when the store is lost to this gateway, or answers it again.
+func (g *Gateway) tellLost() {
+	lost := g.Health.Lost(g.Clock.Now())
+	if g.lost.Swap(lost) == lost {
+		return
+	}
+	g.Log.Info("reads", slog.Bool("able", !lost))
+	g.socket.Send(g.greeting(), g.Members.Audience(g.Config.Box, g.Clock.Now()))
+}
+
+// heardOfReaders looks who reads once others are heard to have lost the store, or to have it
+// again.
+func (g *Gateway) heardOfReaders() {
+	if changes := g.Members.LostChanges(); g.lostChanges.Swap(changes) != changes {
+		g.wakeFollowers()
+	}
+}
+
+// waitForSettings is how long a read of the settings waits for a change.
+func (g *Gateway) waitForSettings() time.Duration {
+	if g.many(g.Clock.Now()) {
+		return readerWait
+	}
+	return settingsWait
 }
 
 // otherReaders returns the readers but for this gateway.
@@ -107,17 +143,16 @@
 }
 
 // provers returns the gateways to ask about a topic; nil when the store is to be
-// read. A reader that the store does not answer asks the other readers, those that stand
-// by for it included, so that what it tells is not old.
+// read. A gateway that the store does not answer asks those that it does answer, and calls the
+// store now and then.
 func (g *Gateway) provers(kind presence.Kind, now time.Time) []presence.Member {
-	readers := g.readers(now)
+	before := g.readers(now)
 	many := g.many(now)
 	_, up := g.Health.Back()
+	lost := g.Health.Lost(now)
 	switch {
-	case many && len(readers) == g.Config.Readers:
-		return readers
-	case up:
-		return readers
+	case many && !lost, !many && up:
+		return before
 	case g.validity.probeDue(kind, probePeriod, now):
 		return nil
 	case many:
--- a/internal/core/presence/bundle.go
+++ b/internal/core/presence/bundle.go
@@ -22,6 +22,8 @@
 	Joined []Member `cbor:"5,keyasint,omitempty"`
 	// Settings is the newest version of the configuration that any of them has.
 	Settings uint64 `cbor:"6,keyasint,omitempty"`
+	// Lost names those of the gateways heard that the store does not answer.
+	Lost []uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // Reported is a digest as a relay passes it on.
@@ -68,6 +70,7 @@
 	mu      sync.Mutex
 	reports map[graniteknot.Address]heardDigest
 	ready   map[graniteknot.BoxName]bool
+	lost    map[graniteknot.BoxName]bool
 	// joined are gateways that are new, since when.
 	joined   map[graniteknot.BoxName]joinedMember
 	settings uint64
@@ -98,8 +101,14 @@
 	}
 	if b.ready == nil {
 		b.ready, b.joined = map[graniteknot.BoxName]bool{}, map[graniteknot.BoxName]joinedMember{}
+		b.lost = map[graniteknot.BoxName]bool{}
 	}
 	b.ready[m.Box] = m.Ready
+	if m.Lost {
+		b.lost[m.Box] = true
+	} else {
+		delete(b.lost, m.Box)
+	}
 	b.settings = max(b.settings, m.Settings)
 	if known := b.joined[m.Box]; known.member.Born != m.Self.Born {
 		b.joined[m.Box] = joinedMember{*m.Self, now}
@@ -119,7 +128,10 @@
 		} else {
 			rest.Unready = append(rest.Unready, nameOf(box))
 		}
-		if len(rest.Ready)+len(rest.Unready) == mostNames {
+		if b.lost[box] {
+			rest.Lost = append(rest.Lost, nameOf(box))
+		}
+		if len(rest.Ready)+len(rest.Unready)+len(rest.Lost) >= mostNames {
 			out, rest = append(out, rest), Bundle{Settings: b.settings}
 		}
 	}
--- a/internal/core/presence/member.go
+++ b/internal/core/presence/member.go
@@ -75,6 +75,8 @@
 	// at is the position of its record in the store; unrecorded when it was heard of
 	// otherwise.
 	at graniteknot.Position
+	// lost tells that the store did not answer it when it last said so.
+	lost bool
 	// relay is when it last said itself that it is a relay; zero when it does not.
 	relay time.Time
 }
--- a/internal/core/presence/message.go
+++ b/internal/core/presence/message.go
@@ -31,6 +31,8 @@
 	Quarantined []byte `cbor:"13,keyasint,omitempty"`
 	// Quota is what gateways tell and ask each other of limits, as package quota writes it.
 	Quota []byte `cbor:"14,keyasint,omitempty"`
+	// Lost tells that the store does not answer the sender, a gateway.
+	Lost bool `cbor:"15,keyasint,omitempty"`
 	// Question and Answer are set where the datagram is one.
 	Question *Question `cbor:"7,keyasint,omitempty"`
 	Answer   *Answer   `cbor:"8,keyasint,omitempty"`
--- a/internal/core/presence/relay.go
+++ b/internal/core/presence/relay.go
@@ -136,9 +136,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.told = now
-	v.settings = max(v.settings, b.Settings)
+	v.settings = max(v.settings, b.Settings, m.Settings)
 	if p := v.peers[m.Box]; p != nil {
 		p.ready, p.heard, p.relay = m.Ready, now, now
+		v.setLost(p, m.Lost)
 	}
 	named := make(map[uint32]*peer, len(v.peers))
 	for _, p := range v.peers {
@@ -149,11 +150,13 @@
 	for _, name := range b.Ready {
 		if p := named[name]; p != nil {
 			p.ready, p.heard = true, now
+			v.setLost(p, slices.Contains(b.Lost, name))
 		}
 	}
 	for _, name := range b.Unready {
 		if p := named[name]; p != nil {
 			p.ready, p.heard = false, now
+			v.setLost(p, slices.Contains(b.Lost, name))
 		}
 	}
 }
--- a/internal/core/presence/view.go
+++ b/internal/core/presence/view.go
@@ -33,6 +33,8 @@
 	settings uint64
 	// told is when a relay last told something, or this relay was; zero for never.
 	told time.Time
+	// lostChanges counts the changes of what members say of the store.
+	lostChanges uint64
 	// relaying tells that this process is a relay.
 	relaying bool
 	// registered is the position of the own record; nil before it is written.
@@ -155,6 +157,9 @@
 		return fresh
 	}
 	p.ready, p.heard, p.relay = m.Ready, now, time.Time{}
+	if m.Self != nil {
+		v.setLost(p, m.Lost)
+	}
 	if m.Relay {
 		p.relay = now
 	}
@@ -199,6 +204,29 @@
 	return v.members(role, but, func(p *peer) bool { return p.ready && v.alive(p, now) })
 }
 
+// setLost notes whether the store answers a member; called with the lock held.
+func (v *View) setLost(p *peer, lost bool) {
+	if p.lost != lost {
+		p.lost = lost
+		v.lostChanges++
+	}
+}
+
+// LostChanges counts how often members told that the store does not answer them, or does again.
+func (v *View) LostChanges() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.lostChanges
+}
+
+// Lost tells whether a member said that the store does not answer it.
+func (v *View) Lost(box graniteknot.BoxName) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	p := v.peers[box]
+	return p != nil && p.lost
+}
+
 // Living returns the members of a role that were heard of late, ready or not, but for
 // one box, ordered by name.
 func (v *View) Living(role Role, but graniteknot.BoxName, now time.Time) []Member {
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -7,7 +7,6 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
-	"graniteknot.org/go/internal/delay"
 )
 
 const (
@@ -27,8 +26,10 @@
 	Health *Health
 	// Clock is what the age of what was read is decided by.
 	Clock graniteknot.AgeClock
-	// Wait is how long a read waits for a record.
-	Wait time.Duration
+	// Wait is how long a read waits for a record; WaitNow tells it anew for each read where it
+	// is set.
+	Wait    time.Duration
+	WaitNow func() time.Duration
 	// Spacing is the least time between the begins of two reads, so that a writer of
 	// records that nobody can use does not have the store read with each of them.
 	Spacing time.Duration
@@ -57,6 +58,10 @@
 	// Renewed notes that the store has come back from an older copy, before its newest
 	// records are taken; nil for nothing.
 	Renewed func(graniteknot.Era)
+	// Vital has calls that fail or are overdue count as the loss of the store.
+	Vital bool
+	// Wake ends the pause between two looks early; nil for never.
+	Wake <-chan struct{}
 
 	// begun tells that the newest records were read once; synced that records are
 	// read on from there.
@@ -74,7 +79,7 @@
 	for ctx.Err() == nil {
 		if f.Revalidate != nil && (f.begun || f.Early) && f.Revalidate(ctx) {
 			f.revalidated = true
-			delay.For(ctx, f.pause(f.RevalidatePause))
+			f.sleep(ctx, f.pause(f.RevalidatePause))
 			continue
 		}
 		if f.revalidated {
@@ -87,7 +92,18 @@
 			pause = f.failed(err)
 			f.elsewhere(ctx)
 		}
-		delay.For(ctx, max(pause, f.Spacing-time.Since(began)))
+		f.sleep(ctx, max(pause, f.Spacing-time.Since(began)))
+	}
+}
+
+// sleep waits for a time, or until the follower is woken.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.Wake:
 	}
 }
 
@@ -111,7 +127,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	began := f.Clock.Now()
 	if !f.synced {
-		page, err := f.Store.Newest(ctx, f.Topic)
+		page, err := f.newest(ctx, began)
 		if err != nil {
 			return f.note(ctx, began, err)
 		}
@@ -123,7 +139,7 @@
 		f.Newest(page.Records, began)
 		return nil
 	}
-	page, err := f.Store.Read(ctx, f.Topic, f.from, f.wait())
+	page, err := f.next(ctx, began)
 	if errors.Is(err, graniteknot.ErrTrimmed) || errors.Is(err, graniteknot.ErrEra) {
 		f.good()
 		f.synced = false
@@ -144,6 +160,43 @@
 	return nil
 }
 
+// newest reads the newest records.
+func (f *Follower) newest(ctx context.Context, began time.Time) (graniteknot.KeyedPage, error) {
+	if !f.Vital {
+		return f.Store.Newest(ctx, f.Topic)
+	}
+	f.Health.Begin(f.Topic, began, 0)
+	page, err := f.Store.Newest(ctx, f.Topic)
+	f.ended(began, 0, err)
+	return page, err
+}
+
+// next reads on.
+func (f *Follower) next(ctx context.Context, began time.Time) (graniteknot.KeyedPage, error) {
+	wait := f.wait()
+	if !f.Vital {
+		return f.Store.Read(ctx, f.Topic, f.from, wait)
+	}
+	f.Health.Begin(f.Topic, began, wait)
+	page, err := f.Store.Read(ctx, f.Topic, f.from, wait)
+	if len(page.Records) > 0 && wait > 0 {
+		// When the record came that it waited for is not known.
+		wait = f.Clock.Since(began)
+	}
+	f.ended(began, wait, err)
+	return page, err
+}
+
+// ended notes the end of a call that was asked to wait for a time.
+func (f *Follower) ended(began time.Time, wait time.Duration, err error) {
+	answered := err == nil || errors.Is(err, graniteknot.ErrTrimmed) || errors.Is(err, graniteknot.ErrEra)
+	took := time.Duration(0)
+	if err == nil {
+		took = f.Clock.Since(began) - wait
+	}
+	f.Health.End(f.Topic, answered, took)
+}
+
 // renewed acts on the store's return from an older copy. What is missing there may be
 // written again soon, as after an outage.
 func (f *Follower) renewed(era graniteknot.Era) {
@@ -161,6 +214,9 @@
 	if f.retry > 0 {
 		return 0
 	}
+	if f.WaitNow != nil {
+		return f.WaitNow()
+	}
 	return f.Wait
 }
 
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -24,6 +24,10 @@
 	renewals uint64
 	// answered is when the store answered last.
 	answered time.Time
+	// readings are the calls of followers that Vital is set for, and took how long the store
+	// needs for an answer of late.
+	readings map[graniteknot.Topic]reading
+	took     time.Duration
 	// elsewhere is as of when another process, which had no trouble with the store, last read
 	// it; renewed tells that the last return was that of an older copy.
 	elsewhere time.Time
--- /dev/null
+++ b/internal/core/watch/overdue.go
@@ -0,0 +1,60 @@
+package watch
+
+import (
+	"time"
+
+	graniteknot "graniteknot.org/go"
+)
+
+const (
+	// leastOverdue is how long after its time a call to the store counts as overdue at least,
+	// and overdueTimes the same in times of what the store's answers take of late.
+	leastOverdue = 300 * time.Millisecond
+	overdueTimes = 3
+	// tookWeight is the part of the last answer in what they take of late.
+	tookWeight = 0.25
+)
+
+// reading is what is known of the calls on one topic.
+type reading struct {
+	// due is when the answer to the call under way is overdue; zero where none is.
+	due time.Time
+	// failed tells that the last call had no answer.
+	failed bool
+}
+
+// Begin notes that a call on a topic begins, which waits for a record for at most a time.
+func (h *Health) Begin(t graniteknot.Topic, now time.Time, wait time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.readings == nil {
+		h.readings = map[graniteknot.Topic]reading{}
+	}
+	x := h.readings[t]
+	x.due = now.Add(wait + max(leastOverdue, overdueTimes*h.took))
+	h.readings[t] = x
+}
+
+// End notes that the call on a topic has ended. Took is how long the store needed for its
+// answer; 0 where that can't be told.
+func (h *Health) End(t graniteknot.Topic, answered bool, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readings[t] = reading{failed: !answered}
+	if took > 0 {
+		h.took = max(took, time.Duration((1-tookWeight)*float64(h.took)+tookWeight*float64(took)))
+	}
+}
+
+// Lost tells whether the store does not answer this process: the last call on a topic had no
+// answer, or one is overdue.
+func (h *Health) Lost(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range h.readings {
+		if x.failed || !x.due.IsZero() && now.After(x.due) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/watch/overdue_test.go
@@ -0,0 +1,73 @@
+package watch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/group"
+	"graniteknot.org/go/internal/standin/keyed"
+)
+
+// TestLostByAnOverdueRead knows that the store does not answer from when a read is overdue,
+// well before it is given up, until one is answered.
+func TestLostByAnOverdueRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = time.Second
+		store := &keyed.Store{}
+		var health watch.Health
+		x := watch.Follower{
+			Store: store, Topic: "t", Health: &health, Wait: wait, Vital: true,
+			Newest: func([]graniteknot.KeyedRecord, time.Time) {}, Next: func([]graniteknot.KeyedRecord, time.Time) {},
+		}
+		var run group.Group
+		run.Go(func(ctx context.Context) { x.Run(ctx) })
+		defer run.Stop()
+		lost := func() bool { return health.Lost(time.Now()) }
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			if lost() {
+				t.Fatal("lost while the store answers")
+			}
+		}
+		time.Sleep(wait / 2)
+		store.Set(keyed.FaultSilent)
+		time.Sleep(wait)
+		if !lost() {
+			t.Error("not lost though a read is overdue")
+		}
+		time.Sleep(5 * time.Second)
+		if !lost() {
+			t.Error("not lost though reads fail")
+		}
+		store.Set(keyed.FaultNone)
+		time.Sleep(4 * time.Second)
+		if lost() {
+			t.Error("lost though the store answers again")
+		}
+	})
+}
+
+// TestSlowStoreIsNotLost waits longer for the answers of a store that has been slow.
+func TestSlowStoreIsNotLost(t *testing.T) {
+	const took = 250 * time.Millisecond
+	var h watch.Health
+	now := time.Now()
+	for range 3 {
+		h.Begin("t", now, 0)
+		if h.Lost(now.Add(took)) {
+			t.Error("lost before the answer is overdue")
+		}
+		h.End("t", true, took)
+	}
+	h.Begin("t", now, 0)
+	if h.Lost(now.Add(2 * took)) {
+		t.Error("lost after twice the usual time")
+	}
+	if !h.Lost(now.Add(4 * took)) {
+		t.Error("not lost after four times the usual time")
+	}
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -195,6 +195,11 @@
 		Old: "since := w.beaten", New: "since := w.beaten.Add(-time.Hour)",
 		Package: "internal/core/fleet", Test: "TestWordOfALifeThatIsNotYetKnown",
 	},
+	{
+		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
+		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
+		Package: "internal/core/watch", Test: "TestLostByAnOverdueRead", Says: "overdue",
+	},
 	{
 		Name: "a gateway that starts believes a store that is behind", File: "internal/core/gateway/follow.go", Old: "\tg.askBeforeFirst(newest.Version)\n", New: "",
 		Package: "internal/core/gateway", Test: "TestStartAfterADrillUsesNoOlderConfiguration", Says: "taken away",
