Parts of records are of the pack that their taker began with, and several are asked for at a time

A question for a part names the pack by its digest, and the last four packs are kept (presence.Shelf), for configurations, replicas, members and quarantine. A new heartbeat of a replica no longer has the configuration packed anew. Up to 4 MB packed are taken, 512 KB before.

Under the mutation that gives out parts of the newest pack TestRecordsThatChangeWhileTheyAreTaken fails as malformed.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -82,6 +82,8 @@
 	shared shared
 	// due tells that something of limits is to be sent.
 	due chan struct{}
+	// quarantineShelf has packs of the quarantine that others are taking.
+	quarantineShelf presence.Shelf
 	// ward tells and keeps what the quarantine knows.
 	ward ward
 	// bundler collects what this gateway passes on as a relay; relaying tells that it is
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -126,23 +126,10 @@
 	})
 }
 
-// answerQuarantine answers another gateway's question for a part of what is known.
-func (g *Gateway) answerQuarantine(body []byte) ([]byte, error) {
-	offset, err := presence.Offset(body)
-	if err != nil {
-		return nil, err
-	}
-	packed, err := g.packQuarantine(g.Clock.Now())
-	if err != nil {
-		return nil, err
-	}
-	return packed.Part(offset)
-}
-
 // packQuarantine packs all entries, some in a record.
-func (g *Gateway) packQuarantine(now time.Time) (presence.Packed, error) {
+func (g *Gateway) packQuarantine() (presence.Packed, error) {
 	var records []graniteknot.KeyedRecord
-	entries := g.Quarantine.Entries(now)
+	entries := g.Quarantine.Entries(g.Clock.Now())
 	for len(entries) > 0 {
 		n := min(mostTold, len(entries))
 		value, err := quarantine.Encode(entries[:n])
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -204,9 +204,9 @@
 	now := g.Clock.Now()
 	switch kind {
 	case askSettingsPart, askReplicasPart:
-		return g.answerPart(kind, body)
+		return g.shared.part(kind, body)
 	case askQuarantinePart:
-		return g.answerQuarantine(body)
+		return g.quarantineShelf.Part(body, g.packQuarantine)
 	case askSettings:
 		tree, age := g.Trees.Current(now)
 		if tree == nil {
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -35,8 +35,10 @@
 	replicas map[string]graniteknot.KeyedRecord
 	// packed are the packs that were last begun to be sent, by kind.
 	packed map[presence.Kind]packedRecords
-	// edition counts the changes of the records.
-	edition uint64
+	// editions count the changes of the records, by kind.
+	editions map[presence.Kind]uint64
+	// settingsShelf and replicasShelf have the packs that others are taking.
+	settingsShelf, replicasShelf presence.Shelf
 }
 
 // packedRecords are packed records of an edition.
@@ -50,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settings = []graniteknot.KeyedRecord{r}
-	s.edition++
+	s.changed(askSettingsPart)
 }
 
 func (s *shared) putReplica(r graniteknot.KeyedRecord) {
@@ -60,22 +62,29 @@
 		s.replicas = map[string]graniteknot.KeyedRecord{}
 	}
 	s.replicas[r.Key] = r
-	s.edition++
+	s.changed(askReplicasPart)
 }
 
 func (s *shared) dropReplica(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.replicas, key)
-	s.edition++
+	s.changed(askReplicasPart)
 }
 
-// pack returns the records of a kind. The first part has them packed anew if they have
-// changed, the others are of the same, so that a change meanwhile does not mix two.
-func (s *shared) pack(kind presence.Kind, first bool) (presence.Packed, error) {
+// changed counts a change of a kind of records; called with the lock held.
+func (s *shared) changed(kind presence.Kind) {
+	if s.editions == nil {
+		s.editions = map[presence.Kind]uint64{}
+	}
+	s.editions[kind]++
+}
+
+// pack returns the records of a kind.
+func (s *shared) pack(kind presence.Kind) (presence.Packed, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.packed[kind]; ok && (!first || known.edition == s.edition) {
+	if known, ok := s.packed[kind]; ok && known.edition == s.editions[kind] {
 		return known.Packed, nil
 	}
 	list := s.settings
@@ -89,21 +98,17 @@
 	if s.packed == nil {
 		s.packed = map[presence.Kind]packedRecords{}
 	}
-	s.packed[kind] = packedRecords{out, s.edition}
+	s.packed[kind] = packedRecords{out, s.editions[kind]}
 	return out, nil
 }
 
-// answerPart answers another gateway's question for a part.
-func (g *Gateway) answerPart(kind presence.Kind, body []byte) ([]byte, error) {
-	offset, err := presence.Offset(body)
-	if err != nil {
-		return nil, err
-	}
-	packed, err := g.shared.pack(kind, offset == 0)
-	if err != nil {
-		return nil, err
+// part answers another gateway's question for a part.
+func (s *shared) part(kind presence.Kind, body []byte) ([]byte, error) {
+	shelf := &s.settingsShelf
+	if kind == askReplicasPart {
+		shelf = &s.replicasShelf
 	}
-	return packed.Part(offset)
+	return shelf.Part(body, func() (presence.Packed, error) { return s.pack(kind) })
 }
 
 // settingsElsewhere takes a newer configuration from a gateway that has one, where
--- a/internal/core/gateway/version_lag_test.go
+++ b/internal/core/gateway/version_lag_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// TestLargeVersionsInSeriesAreTakenWhole has versions with many routes written faster than one is
+// taken from another gateway, by many at once.
+func TestLargeVersionsInSeriesAreTakenWhole(t *testing.T) {
+	notUnderRace(t)
+	// One gateway reads the settings each 0.2 s and the replicas each 1.35 s.
+	const mostCalls = 48
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(t, 20, nil)
+		defer f.stop()
+		f.routes = 1640
+		time.Sleep(3 * time.Second)
+		l := watchLags(f)
+		before := f.calls()
+		l.series(8*time.Second, 60*time.Millisecond)
+		if calls := f.calls() - before; calls > mostCalls {
+			t.Errorf("%d calls to the store, %d by one that reads for all", calls, mostCalls)
+		}
+		l.pass(4 * time.Second)
+		l.check(t)
+	})
+}
+
 // turnAway sets what the first readers get of the store.
 func (l *lags) turnAway(n int, how access) {
 	for _, b := range l.fleet.inOrder()[:n] {
--- a/internal/core/gateway/virtual_rig_test.go
+++ b/internal/core/gateway/virtual_rig_test.go
@@ -182,6 +182,8 @@
 	// version is the last that was written; host is that of its routes.
 	version int
 	keys    []string
+	// routes are how many more routes the configuration has.
+	routes int
 }
 
 func newVirtualFleet(t *testing.T, n int, change func(*directconf.Config)) *virtualFleet {
@@ -246,7 +248,7 @@
 func (f *virtualFleet) write(key string) {
 	f.version++
 	f.keys = append(f.keys, key)
-	f.store.Put(graniteknot.TopicSettings, "config", platformtest.Config(f.version, "h.example", "s", f.keys))
+	f.store.Put(graniteknot.TopicSettings, "config", platformtest.ConfigOf(f.version, "h.example", "s", f.keys, f.routes))
 }
 
 // ask sends one request with a key to a box and returns its status; 0 for none.
@@ -270,6 +272,17 @@
 	return x.StatusCode
 }
 
+// calls counts the calls of all boxes to the store.
+func (f *virtualFleet) calls() int {
+	n := 0
+	for _, b := range f.boxes {
+		b.way.mu.Lock()
+		n += b.way.calls
+		b.way.mu.Unlock()
+	}
+	return n
+}
+
 // inForce is the version that a box has in force; 0 for none.
 func (b *virtualBox) inForce() int {
 	tree, _ := b.Trees.Current(b.Clock.Now())
--- a/internal/core/presence/census.go
+++ b/internal/core/presence/census.go
@@ -43,9 +43,11 @@
 	// turn is whom to ask next; taken is the digest of what was last taken in.
 	turn  int
 	taken uint64
-	// packed are the records as they were last packed, of the digest.
+	// packed are the records as they were last packed, of the digest; shelf has the packs that
+	// others are taking.
 	packed Packed
 	digest uint64
+	shelf  Shelf
 }
 
 // Ask asks a gateway or two who they know, and takes in what is new; false when none
@@ -121,26 +123,18 @@
 	case askMembers:
 		return binary.AppendUvarint(nil, c.View.Digest(c.Self)), true, nil
 	case askMembersPart:
-		offset, err := Offset(body)
-		if err != nil {
-			return nil, true, err
-		}
-		packed, err := c.pack(offset == 0)
-		if err != nil {
-			return nil, true, err
-		}
-		out, err := packed.Part(offset)
+		out, err := c.shelf.Part(body, c.pack)
 		return out, true, err
 	}
 	return nil, false, nil
 }
 
-// pack returns the records; later parts are of the same as the first.
-func (c *Census) pack(first bool) (Packed, error) {
+// pack returns the records.
+func (c *Census) pack() (Packed, error) {
 	digest := c.View.Digest(c.Self)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.packed != nil && (!first || digest == c.digest) {
+	if c.packed != nil && digest == c.digest {
 		return c.packed, nil
 	}
 	packed, err := Pack(c.View.records(c.Self))
--- a/internal/core/presence/parts.go
+++ b/internal/core/presence/parts.go
@@ -4,15 +4,16 @@
 	"bytes"
 	"compress/flate"
 	"context"
-	"encoding/binary"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/group"
 )
 
 // A process takes records that the store gave from another process, in parts that fit
@@ -20,10 +21,12 @@
 const (
 	// partSize is how many bytes one answer holds of the records.
 	partSize = 1000
-	// mostPacked and mostUnpacked bound what is taken from another process: some
+	// mostPacked and mostUnpacked bound what is taken from another process: some ten
 	// thousand routes packed, and what they unpack to.
-	mostPacked   = 512 << 10
-	mostUnpacked = 8 << 20
+	mostPacked   = 4 << 20
+	mostUnpacked = 32 << 20
+	// partsAtATime is how many parts are asked for at a time.
+	partsAtATime = 8
 	// partTries is how often a part is asked for, since datagrams may be lost, and
 	// partTime bounds each question.
 	partTries = 3
@@ -72,54 +75,83 @@
 	Bytes  []byte `cbor:"3,keyasint"`
 }
 
-// Offset reads which part a question asks for; the first is at 0.
-func Offset(question []byte) (uint64, error) {
-	offset, n := binary.Uvarint(question)
-	if n <= 0 {
-		return 0, ErrMalformed
-	}
-	return offset, nil
-}
-
-// Part answers a question for the part at an offset.
-func (p Packed) Part(offset uint64) ([]byte, error) {
+// part answers a question for the part at an offset of a pack with a digest.
+func (p Packed) part(offset, digest uint64) ([]byte, error) {
 	if offset > uint64(len(p)) {
 		return nil, ErrMalformed
 	}
 	end := min(int(offset)+partSize, len(p))
-	return cbor.Marshal(part{Digest: xxhash.Sum64(p), Total: len(p), Bytes: p[offset:end]})
+	return cbor.Marshal(part{Digest: digest, Total: len(p), Bytes: p[offset:end]})
 }
 
 // Fetch takes all records of a kind from the process at an address.
 func (s *Socket) Fetch(ctx context.Context, from graniteknot.Address, kind Kind) ([]graniteknot.KeyedRecord, error) {
-	var whole []byte
-	first, err := s.fetchPart(ctx, from, kind, 0)
+	first, err := s.fetchPart(ctx, from, kind, question(0, 0))
 	if err != nil {
 		return nil, err
 	}
-	whole = append(whole, first.Bytes...)
-	for len(whole) < first.Total {
-		next, err := s.fetchPart(ctx, from, kind, len(whole))
-		if err != nil {
+	whole := make([]byte, first.Total)
+	copied := copy(whole, first.Bytes)
+	if copied < first.Total {
+		if err := s.fetchRest(ctx, from, kind, first, whole); err != nil {
 			return nil, err
 		}
-		if next.Digest != first.Digest || next.Total != first.Total || len(next.Bytes) == 0 {
-			return nil, ErrMalformed
-		}
-		whole = append(whole, next.Bytes...)
 	}
-	if len(whole) != first.Total || xxhash.Sum64(whole) != first.Digest {
+	if xxhash.Sum64(whole) != first.Digest {
 		return nil, ErrMalformed
 	}
 	return unpack(whole)
 }
 
-func (s *Socket) fetchPart(ctx context.Context, from graniteknot.Address, kind Kind, offset int) (*part, error) {
+// fetchRest takes all parts but the first, several at a time.
+func (s *Socket) fetchRest(ctx context.Context, from graniteknot.Address, kind Kind, first *part, whole []byte) error {
+	if len(first.Bytes) == 0 {
+		return ErrMalformed
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var next atomic.Int64
+	next.Store(int64(len(first.Bytes)))
+	var takers group.Group
+	for range partsAtATime {
+		takers.Go(func(context.Context) {
+			for ctx.Err() == nil {
+				at := int(next.Add(partSize)) - partSize
+				if at >= len(whole) {
+					return
+				}
+				if err := s.fetchInto(ctx, from, kind, first, whole, at); err != nil {
+					cancel(err)
+				}
+			}
+		})
+	}
+	takers.Wait()
+	return context.Cause(ctx)
+}
+
+// fetchInto takes the part at a place of the whole.
+func (s *Socket) fetchInto(ctx context.Context, from graniteknot.Address, kind Kind, first *part, whole []byte, at int) error {
+	one, err := s.fetchPart(ctx, from, kind, question(at, first.Digest))
+	if err != nil {
+		return err
+	}
+	if one.Digest != first.Digest || one.Total != first.Total || len(one.Bytes) != min(partSize, len(whole)-at) {
+		return ErrMalformed
+	}
+	copy(whole[at:], one.Bytes)
+	return nil
+}
+
+func (s *Socket) fetchPart(ctx context.Context, from graniteknot.Address, kind Kind, question []byte) (*part, error) {
 	var last error
 	for range partTries {
 		short, cancel := context.WithTimeout(ctx, partTime)
-		body, err := s.Ask(short, from, kind, binary.AppendUvarint(nil, uint64(offset)))
+		body, err := s.Ask(short, from, kind, question)
 		cancel()
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
 		if err != nil {
 			last = err
 			continue
@@ -128,7 +160,7 @@
 		if err := cbor.Unmarshal(body, out); err != nil {
 			return nil, err
 		}
-		if out.Total > mostPacked || len(out.Bytes) > partSize {
+		if out.Total < 0 || out.Total > mostPacked || len(out.Bytes) > partSize {
 			return nil, ErrMalformed
 		}
 		return out, nil
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -200,6 +200,11 @@
 		Old: "compareBool(a.lost, b.lost), ", New: "",
 		Package: "internal/core/gateway", Test: "TestVersionsAreInForceInTimeThoughReadersAreTurnedAway", Says: "came into force",
 	},
+	{
+		Name: "parts are of the newest records", File: "internal/core/presence/shelf.go",
+		Old: "if digest == 0 {", New: "if digest != 0 || len(s.packs) > 0 {",
+		Package: "internal/core/presence", Test: "TestRecordsThatChangeWhileTheyAreTaken", Says: "malformed",
+	},
 	{
 		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
 		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
