A gateway refuses by its configuration only while that is known to be the newest

Callers were told 401 and 404 by gateways that knew of a newer version, or whose own nothing had proved for seconds: a refusal is a claim about all versions in force, and was made by whoever had any.

What a version allows is served as before, with no lookup more. A proof is old when it is older than two reads that wait. TestNoRefusalByAVersionThatIsKnownToBeOld and TestNoRefusalWithoutProof were answered 401 before.

--- a/internal/core/explain/cause.go
+++ b/internal/core/explain/cause.go
@@ -30,6 +30,8 @@
 			l.Get("version"), l.Get("version_age_ms"))
 	case "no-configuration":
 		return "not run: the gateway had no configuration yet"
+	case "configuration-behind":
+		return "not run: version " + l.Get("version") + " does not allow it, and may not be the newest" + under(l)
 	case "no-route":
 		return fmt.Sprintf("no route for %s%s in version %s%s", l.Get("host"), l.Get("path"), l.Get("version"), under(l))
 	case "unknown-key":
--- a/internal/core/gateway/newer.go
+++ b/internal/core/gateway/newer.go
@@ -145,7 +145,13 @@
 			delay.For(ctx, takeSpacing-time.Since(began))
 			continue
 		}
-		delay.For(ctx, retry)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry):
+		case <-g.newerWake:
+			// A request waits for it.
+			delay.For(ctx, takeRetry/2)
+		}
 		retry = min(2*retry, longestTakeRetry)
 	}
 }
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -45,11 +45,23 @@
 		x.refuse(http.StatusBadRequest, "malformed", 0)
 		return
 	}
-	job := x.admit(tree)
-	if job == nil || !x.body(tree.Limits.BodyBytes) {
+	found, deny := grantOf(tree, request)
+	if deny != (denial{}) {
+		permitted := false
+		if found, permitted = x.reconsider(); !permitted {
+			return
+		}
+	}
+	x.forward(found)
+}
+
+// forward takes a request that the configuration allows to its answer.
+func (x *exchange) forward(found grant) {
+	job := x.admit(found)
+	if job == nil || !x.body(found.tree.Limits.BodyBytes) {
 		return
 	}
-	result := g.Forward.Do(r.Context(), job, x)
+	result := x.gateway.Forward.Do(x.r.Context(), job, x)
 	x.end(&result)
 }
 
@@ -65,24 +77,15 @@
 	age     time.Duration
 }
 
-// admit finds the request's route, account and service; nil after a refusal.
-func (x *exchange) admit(tree *catalog.Tree) *forward.Job {
-	route := tree.Route(x.request.Host, x.request.Path)
-	if route == nil {
-		x.refuse(http.StatusNotFound, "no-route", 0)
-		return nil
-	}
-	account := tree.Account(x.request.Key)
-	if account == nil && tree.Tenanted && !route.Public {
-		x.refuse(http.StatusUnauthorized, "unknown-key", 0)
-		return nil
-	}
-	if account != nil && !x.gateway.fresh() {
+// admit makes the job of a request that the configuration allows; nil after a refusal.
+func (x *exchange) admit(found grant) *forward.Job {
+	if found.account != nil && !x.gateway.fresh() {
 		x.refuse(http.StatusServiceUnavailable, string(forward.ReasonStale), refusedAgain)
 		return nil
 	}
+	route := found.route
 	x.job = &forward.Job{
-		Request: x.request, Route: route, Account: account, Service: tree.Service(route.Pick(rand.Uint64())),
+		Request: x.request, Route: route, Account: found.account, Service: found.tree.Service(route.Pick(rand.Uint64())),
 		End: endOf(x.request, route),
 	}
 	return x.job
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/delay"
 )
 
 const (
@@ -60,7 +61,7 @@
 	Renewed func(graniteknot.Era)
 	// Vital has calls that fail or are overdue count as the loss of the store.
 	Vital bool
-	// Wake ends the pause between two looks early; nil for never.
+	// Wake ends the pause after another process has proved what is known; nil for never.
 	Wake <-chan struct{}
 
 	// begun tells that the newest records were read once; synced that records are
@@ -92,7 +93,7 @@
 			pause = f.failed(err)
 			f.elsewhere(ctx)
 		}
-		f.sleep(ctx, max(pause, f.Spacing-time.Since(began)))
+		delay.For(ctx, max(pause, f.Spacing-time.Since(began)))
 	}
 }
 
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -205,6 +205,16 @@
 		Old: "if digest == 0 {", New: "if digest != 0 || len(s.packs) > 0 {",
 		Package: "internal/core/presence", Test: "TestRecordsThatChangeWhileTheyAreTaken", Says: "malformed",
 	},
+	{
+		Name: "a gateway that is behind refuses", File: "internal/core/gateway/refusal.go",
+		Old: "return age < g.proofAge() && g.newer.behind(g.Clock.Now()) == 0", New: "return age < g.proofAge()",
+		Package: "internal/core/gateway", Test: "TestNoRefusalByAVersionThatIsKnownToBeOld", Says: "answered 401",
+	},
+	{
+		Name: "a gateway refuses by an old proof", File: "internal/core/gateway/refusal.go",
+		Old: "return age < g.proofAge() && ", New: "return age < 1000*g.proofAge() && ",
+		Package: "internal/core/gateway", Test: "TestNoRefusalWithoutProof", Says: "answered 401",
+	},
 	{
 		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
 		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
