A read of the store that is overdue is made once more, before it counts as failed

A gateway whose connection to the store fell silent saw nothing for 2.7 s: the read's own time and 1.2 s.

Now it is given up 0.3 s after its time (three times what the store's answers take, where that is more) and made again on another connection; only if that fails as well the store counts as lost and vanished records are doubted. TestReadThatHangsIsMadeAgain fails without it.

--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -71,6 +71,8 @@
 	// read tells that from is where a read of this process ended.
 	read  bool
 	retry time.Duration
+	// cut tells that the last call was given up as soon as it was overdue.
+	cut bool
 	// revalidated tells that the last look did not ask the store.
 	revalidated bool
 }
@@ -89,7 +91,11 @@
 		}
 		began := time.Now()
 		pause := f.pause(f.Pause)
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		switch err := f.step(ctx); {
+		case err == nil || ctx.Err() != nil:
+		case errors.Is(err, errOverdue):
+			continue
+		default:
 			pause = f.failed(err)
 			f.elsewhere(ctx)
 		}
@@ -161,25 +167,40 @@
 	return nil
 }
 
+// errOverdue is a call that was given up because its answer was overdue. It is made once more,
+// on another connection, before it counts as failed.
+var errOverdue = errors.New("overdue")
+
 // newest reads the newest records.
 func (f *Follower) newest(ctx context.Context, began time.Time) (graniteknot.KeyedPage, error) {
-	if !f.Vital {
-		return f.Store.Newest(ctx, f.Topic)
-	}
-	f.Health.Begin(f.Topic, began, 0)
-	page, err := f.Store.Newest(ctx, f.Topic)
-	f.ended(began, 0, err)
-	return page, err
+	return f.call(ctx, began, 0, func(ctx context.Context) (graniteknot.KeyedPage, error) { return f.Store.Newest(ctx, f.Topic) })
 }
 
 // next reads on.
 func (f *Follower) next(ctx context.Context, began time.Time) (graniteknot.KeyedPage, error) {
 	wait := f.wait()
-	if !f.Vital {
+	return f.call(ctx, began, wait, func(ctx context.Context) (graniteknot.KeyedPage, error) {
 		return f.Store.Read(ctx, f.Topic, f.from, wait)
+	})
+}
+
+// call makes a call that waits for at most a time.
+func (f *Follower) call(ctx context.Context, began time.Time, wait time.Duration, do func(context.Context) (graniteknot.KeyedPage, error)) (graniteknot.KeyedPage, error) {
+	if !f.Vital {
+		return do(ctx)
 	}
+	bounded, cancel := ctx, context.CancelFunc(func() {})
+	if f.retry == 0 && !f.cut {
+		bounded, cancel = context.WithTimeout(ctx, wait+f.Health.Margin())
+	}
+	defer cancel()
 	f.Health.Begin(f.Topic, began, wait)
-	page, err := f.Store.Read(ctx, f.Topic, f.from, wait)
+	page, err := do(bounded)
+	f.cut = err != nil && bounded.Err() != nil && ctx.Err() == nil
+	if f.cut {
+		f.Health.End(f.Topic, false, 0)
+		return page, errOverdue
+	}
 	if len(page.Records) > 0 && wait > 0 {
 		// When the record came that it waited for is not known.
 		wait = f.Clock.Since(began)
@@ -212,7 +233,7 @@
 // wait, and one that began just before the store's return would be missing for
 // that long.
 func (f *Follower) wait() time.Duration {
-	if f.retry > 0 {
+	if f.retry > 0 || f.cut {
 		return 0
 	}
 	if f.WaitNow != nil {
@@ -227,7 +248,7 @@
 }
 
 func (f *Follower) note(ctx context.Context, began time.Time, err error) error {
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, errOverdue) {
 		f.Health.Bad(began, err)
 	}
 	return err
--- a/internal/core/watch/overdue.go
+++ b/internal/core/watch/overdue.go
@@ -31,10 +31,20 @@
 		h.readings = map[graniteknot.Topic]reading{}
 	}
 	x := h.readings[t]
-	x.due = now.Add(wait + max(leastOverdue, overdueTimes*h.took))
+	x.due = now.Add(wait + h.margin())
 	h.readings[t] = x
 }
 
+// Margin returns how long after its time a call counts as overdue.
+func (h *Health) Margin() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.margin()
+}
+
+// margin is called with the lock held.
+func (h *Health) margin() time.Duration { return max(leastOverdue, overdueTimes*h.took) }
+
 // End notes that the call on a topic has ended. Took is how long the store needed for its
 // answer; 0 where that can't be told.
 func (h *Health) End(t graniteknot.Topic, answered bool, took time.Duration) {
--- a/internal/core/watch/overdue_test.go
+++ b/internal/core/watch/overdue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -71,3 +72,46 @@
 		t.Error("not lost after four times the usual time")
 	}
 }
+
+// hangingStore does not answer one of its calls.
+type hangingStore struct {
+	*keyed.Store
+
+	hang atomic.Bool
+}
+
+// Read implements graniteknot.KeyedStore.
+func (s *hangingStore) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
+	if s.hang.CompareAndSwap(true, false) {
+		<-ctx.Done()
+		return graniteknot.KeyedPage{}, ctx.Err()
+	}
+	return s.Store.Read(ctx, t, from, wait)
+}
+
+// TestReadThatHangsIsMadeAgain loses one answer, as where a connection falls silent: a change
+// is seen as soon as the read is overdue, and the store does not count as lost for it.
+func TestReadThatHangsIsMadeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait, bound = 1500 * time.Millisecond, 1900 * time.Millisecond
+		store := &hangingStore{Store: &keyed.Store{}}
+		var health watch.Health
+		var seen atomic.Int32
+		take := func(r []graniteknot.KeyedRecord, _ time.Time) { seen.Add(int32(len(r))) }
+		x := watch.Follower{Store: store, Topic: "t", Health: &health, Wait: wait, Vital: true, Newest: take, Next: take}
+		var run group.Group
+		run.Go(func(ctx context.Context) { x.Run(ctx) })
+		defer run.Stop()
+		time.Sleep(wait / 2)
+		store.hang.Store(true)
+		time.Sleep(wait)
+		store.Put("t", "a", []byte("1"))
+		time.Sleep(bound - wait/2)
+		if seen.Load() == 0 {
+			t.Error("the change was not seen")
+		}
+		if _, up := health.Back(); !up || health.Doubtful(time.Now(), time.Minute) {
+			t.Error("the store counts as lost")
+		}
+	})
+}
