--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -16,10 +16,10 @@
 const (
 	// settingsWait is how long one read of the settings waits for a change. Each
 	// read proves that the tree is the newest, so it bounds the tree's age. readerWait is the
-	// same for a gateway that reads for others: it bounds for how long a read may hang
-	// before another gateway reads.
+	// same for a gateway that reads for others, which bounds for how long a read may hang
+	// before another one reads.
 	settingsWait = 1500 * time.Millisecond
-	readerWait   = time.Second
+	readerWait   = 1200 * time.Millisecond
 	// settingsSpacing is the least time between two reads: a change is seen so much later
 	// at most, a tenth of the time in which it has to be in force.
 	settingsSpacing = 200 * time.Millisecond
@@ -39,7 +39,7 @@
 func (g *Gateway) followSettings(ctx context.Context) {
 	g.meet(ctx)
 	f := watch.Follower{
-		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, WaitNow: g.waitForSettings, Spacing: settingsSpacing,
+		Store: g.Store, Topic: graniteknot.TopicSettings, Health: &g.Health, Clock: g.Clock, WaitNow: g.settingsWait, Spacing: settingsSpacing,
 		Newest: g.takeSettings, Next: g.takeSettings, Revalidate: g.revalidateSettings, Elsewhere: g.settingsElsewhere, RevalidatePause: revalidatePause, Early: true,
 		Renewed: func(graniteknot.Era) { g.Trees.Renew() }, Vital: true, Wake: g.settingsWake,
 	}
--- a/internal/core/gateway/metrics.go
+++ b/internal/core/gateway/metrics.go
@@ -29,7 +29,10 @@
 		}
 		return float64(tree.Version)
 	})
-	g.Meter.Gauge("graniteknot_configuration_behind_seconds", func() float64 { return g.newer.behind(g.Clock.Now()).Seconds() })
+	g.Meter.Gauge("graniteknot_configuration_behind_seconds", func() float64 {
+		behind, _ := g.newer.behind(g.Clock.Now())
+		return behind.Seconds()
+	})
 	g.Meter.Gauge("graniteknot_gateways_alive", func() float64 {
 		return float64(len(g.Members.Alive(presence.RoleGateway, g.Config.Box, g.Clock.Now())) + 1)
 	})
--- a/internal/core/gateway/newer.go
+++ b/internal/core/gateway/newer.go
@@ -88,15 +88,15 @@
 	return behind, n.by
 }
 
-// behind returns for how long this gateway has known of a newer version; 0 when it has the
-// newest.
-func (n *newer) behind(now time.Time) time.Duration {
+// behind returns for how long this gateway has known of a newer version; false when it has
+// the newest.
+func (n *newer) behind(now time.Time) (time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.since.IsZero() {
-		return 0
+		return 0, false
 	}
-	return now.Sub(n.since)
+	return now.Sub(n.since), true
 }
 
 // toldVersion takes in that another gateway knows of a version, and has it taken.
@@ -120,6 +120,12 @@
 	}
 }
 
+// behind tells whether another gateway is known to have a newer configuration.
+func (g *Gateway) behind() bool {
+	_, behind := g.newer.behind(g.Clock.Now())
+	return behind
+}
+
 // takeNewer takes configurations that others have and this gateway has not, as soon as it is
 // told of them.
 func (g *Gateway) takeNewer(ctx context.Context) {
@@ -138,7 +144,7 @@
 		delay.For(ctx, ownReadPatience)
 	}
 	retry := takeRetry
-	for ctx.Err() == nil && g.newer.behind(g.Clock.Now()) > 0 {
+	for ctx.Err() == nil && g.behind() {
 		began := time.Now()
 		if g.takeOne(ctx) {
 			retry = takeRetry
@@ -161,12 +167,10 @@
 func (g *Gateway) takeOne(ctx context.Context) bool {
 	now := g.Clock.Now()
 	own := g.version()
-	if own > 0 {
-		// It may have come into force by a read that was under way when it was told.
-		g.newer.taken(catalog.Version(own), now)
-		if g.newer.behind(now) == 0 {
-			return true
-		}
+	// It may have come into force by a read that was under way when it was told.
+	g.newer.taken(catalog.Version(own), now)
+	if !g.behind() {
+		return true
 	}
 	if box, ok := g.newer.from(catalog.Version(own)); ok {
 		if peers, known := g.Members.Peers(box); known && g.takeFrom(ctx, presence.Member{Box: box, Peers: peers}, own) {
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -25,6 +25,8 @@
 	mostTold = 20
 	// quarantineWait is how long one read of the records waits for a change.
 	quarantineWait = 20 * time.Second
+	// quarantineReaders is how many gateways read the records where they do so for all.
+	quarantineReaders = 2
 	// quarantineSpacing is the least time between two reads.
 	quarantineSpacing = 300 * time.Millisecond
 	// quarantinePause is the time between two looks whether other gateways still read
@@ -166,7 +168,9 @@
 }
 
 // readsQuarantine tells whether this gateway reads the records itself.
-func (g *Gateway) readsQuarantine(now time.Time) bool { return !g.many(now) || g.standsBy(now) }
+func (g *Gateway) readsQuarantine(now time.Time) bool {
+	return !g.many(now) || g.readsFirst(quarantineReaders, now)
+}
 
 func (g *Gateway) takeQuarantine(records []graniteknot.KeyedRecord, _ time.Time) {
 	now := g.Clock.Now()
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -87,8 +87,8 @@
 	}
 }
 
-// waitForSettings is how long a read of the settings waits for a change.
-func (g *Gateway) waitForSettings() time.Duration {
+// settingsWait is how long a read of the settings waits for a change.
+func (g *Gateway) settingsWait() time.Duration {
 	if g.many(g.Clock.Now()) {
 		return readerWait
 	}
@@ -115,6 +115,9 @@
 	return most > 0 && len(g.Members.Living(presence.RoleGateway, g.Config.Box, now))+1 > 2*most
 }
 
+// readsFirst tells whether this gateway is among the first that read for all.
+func (g *Gateway) readsFirst(n int, now time.Time) bool { return len(g.readers(now)) < n }
+
 // standsBy tells whether this gateway reads as soon as the readers before it do not.
 func (g *Gateway) standsBy(now time.Time) bool {
 	return len(g.readers(now)) < g.Config.Readers
--- a/internal/core/gateway/refusal.go
+++ b/internal/core/gateway/refusal.go
@@ -20,8 +20,6 @@
 	refusalWait = 300 * time.Millisecond
 	// refusalLook is the time between two looks meanwhile.
 	refusalLook = 5 * time.Millisecond
-	// refusalSlack is what the answer to a read may take beyond what it waits for.
-	refusalSlack = 400 * time.Millisecond
 )
 
 // denial is why a request is refused by the configuration; the zero value is no denial.
@@ -51,17 +49,13 @@
 }
 
 // proofAge is how old the proof of a configuration may be while the store answers: two reads
-// that wait, each of which proves what was in force at its begin.
-func (g *Gateway) proofAge() time.Duration {
-	if g.many(g.Clock.Now()) {
-		return settingsTrust + revalidatePause
-	}
-	return 2*settingsWait + refusalSlack
-}
+// that wait, each of which proves what was in force at its begin, and what the answer to the
+// second may take, or the questions between gateways in a large deployment.
+const proofAge = max(2*settingsWait+400*time.Millisecond, settingsTrust+revalidatePause)
 
 // newest tells whether a configuration is, for all that is known, the newest.
 func (g *Gateway) newest(age time.Duration) bool {
-	return age < g.proofAge() && g.newer.behind(g.Clock.Now()) == 0
+	return age < proofAge && !g.behind()
 }
 
 // settle waits until the configuration in force is known to be the newest or allows a request;
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -130,10 +130,11 @@
 	x.fail(status, again)
 	x.gateway.Meter.Count("graniteknot_refused_total", meter.Label{Name: "reason", Value: reason})
 	from := x.gateway.settingsFrom.Load()
+	behind, _ := x.gateway.newer.behind(x.gateway.Clock.Now())
 	x.gateway.Log.Warn("refused", slog.String("request", string(x.request.ID)), slog.Int("status", status),
 		slog.String("reason", reason), slog.Int64("version", int64(x.version)), eventlog.Milliseconds("version_age", x.age),
 		slog.String("proved_by", string(from.by)), slog.String("read_by", string(from.reader)),
-		eventlog.Milliseconds("behind", x.gateway.newer.behind(x.gateway.Clock.Now())),
+		eventlog.Milliseconds("behind", behind),
 		slog.String("host", x.request.Host), slog.String("path", x.request.Path))
 }
 
--- a/internal/core/gateway/version_lag_test.go
+++ b/internal/core/gateway/version_lag_test.go
@@ -19,14 +19,26 @@
 	// reached is the highest version that each box was seen with.
 	reached map[*virtualBox]int
 	// all are the lags of all versions at all boxes; one that a box skipped counts as the next.
-	all  []time.Duration
+	all []time.Duration
+	// seen are the same with where and when.
+	seen []lag
+	// back counts the versions that a box went back.
 	back int
+	// each is called before each look; nil for nothing.
+	each func()
 	// callers use the key of each version once it has to be in force; refused counts those
 	// that are told that it is unknown.
 	callers sync.WaitGroup
 	refused atomic.Int32
 }
 
+// lag is how long after its writing a version was seen in force at a box.
+type lag struct {
+	box     *virtualBox
+	written time.Time
+	lag     time.Duration
+}
+
 const lagLook = 20 * time.Millisecond
 
 func watchLags(f *virtualFleet) *lags {
@@ -57,13 +69,20 @@
 func (l *lags) look() {
 	now := time.Now()
 	for _, b := range l.fleet.boxes {
+		if b.down {
+			continue
+		}
 		version := b.inForce()
 		if version < l.reached[b] {
 			l.back++
 		}
+		if _, known := l.reached[b]; !known {
+			l.reached[b] = version
+		}
 		for v := l.reached[b] + 1; v <= version; v++ {
 			if v < len(l.written) && !l.written[v].IsZero() && !b.away.Load() {
 				l.all = append(l.all, now.Sub(l.written[v]))
+				l.seen = append(l.seen, lag{b, l.written[v], now.Sub(l.written[v])})
 			}
 		}
 		l.reached[b] = max(version, l.reached[b])
@@ -74,6 +93,9 @@
 func (l *lags) pass(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(lagLook)
+		if l.each != nil {
+			l.each()
+		}
 		l.look()
 	}
 }
--- a/internal/core/gateway/virtual_rig_test.go
+++ b/internal/core/gateway/virtual_rig_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	// rigDelay is the time on the way between boxes, rigStore that of an answer of the store.
 	rigDelay = 1400 * time.Microsecond
 	rigStore = 4 * time.Millisecond
+	rigSlow  = 400 * time.Millisecond
 )
 
 // access is what a box gets of the store.
@@ -42,6 +44,9 @@
 	accessSilent
 	accessRefused
 	accessReset
+	// accessHung gets no answer to reads of the settings alone, as where one connection
+	// has gone silent.
+	accessHung
 )
 
 // storeWay is one box's way to the store.
@@ -65,21 +70,40 @@
 func (w *storeWay) set(a access) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.access == a {
+		return
+	}
 	w.access = a
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
+// slow has the store take long for its answers.
+func (w *storeWay) slow(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.took = rigStore
+	if on {
+		w.took = rigSlow
+	}
+}
+
 // call makes a call that waits for at most a time.
-func (w *storeWay) call(ctx context.Context, wait time.Duration, do func(ctx context.Context) error) error {
+func (w *storeWay) call(ctx context.Context, t graniteknot.Topic, wait time.Duration, do func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeCall)
 	defer cancel()
 	w.mu.Lock()
 	w.calls++
 	how, took, changed := w.access, w.took, w.changed
 	w.mu.Unlock()
+	if how == accessHung {
+		how = accessOpen
+		if t == graniteknot.TopicSettings && wait > 0 {
+			how = accessSilent
+		}
+	}
 	switch how {
-	case accessOpen:
+	case accessOpen, accessHung:
 	case accessSilent:
 		<-ctx.Done()
 		return ctx.Err()
@@ -100,7 +124,7 @@
 	case err := <-done:
 		return w.late(ctx, took, err)
 	case <-changed:
-		return w.lost(ctx)
+		return w.lost(ctx, done)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -119,10 +143,18 @@
 }
 
 // lost waits for an answer that was under way when the access changed.
-func (w *storeWay) lost(ctx context.Context) error {
+func (w *storeWay) lost(ctx context.Context, done <-chan error) error {
 	w.mu.Lock()
 	how := w.access
 	w.mu.Unlock()
+	if how == accessHung {
+		select {
+		case err := <-done:
+			return err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	if how == accessReset || how == accessRefused {
 		return net.ErrClosed
 	}
@@ -132,7 +164,7 @@
 
 // Newest implements graniteknot.KeyedStore.
 func (w *storeWay) Newest(ctx context.Context, t graniteknot.Topic) (page graniteknot.KeyedPage, err error) {
-	err = w.call(ctx, 0, func(ctx context.Context) error {
+	err = w.call(ctx, t, 0, func(ctx context.Context) error {
 		var err error
 		page, err = w.KeyedStore.Newest(ctx, t)
 		return err
@@ -142,7 +174,7 @@
 
 // Read implements graniteknot.KeyedStore.
 func (w *storeWay) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (page graniteknot.KeyedPage, err error) {
-	err = w.call(ctx, wait, func(ctx context.Context) error {
+	err = w.call(ctx, t, wait, func(ctx context.Context) error {
 		var err error
 		page, err = w.KeyedStore.Read(ctx, t, from, wait)
 		return err
@@ -152,7 +184,7 @@
 
 // Append implements graniteknot.KeyedStore.
 func (w *storeWay) Append(ctx context.Context, t graniteknot.Topic, r graniteknot.KeyedRecord) (at graniteknot.Position, err error) {
-	err = w.call(ctx, 0, func(ctx context.Context) error {
+	err = w.call(ctx, t, 0, func(ctx context.Context) error {
 		var err error
 		at, err = w.KeyedStore.Append(ctx, t, r)
 		return err
@@ -167,10 +199,15 @@
 	config *directconf.Config
 	way    *storeWay
 	clock  suspended
+	// down tells that no process runs there.
+	down bool
 	// away tells that the box is or was disturbed: nothing is asked of it.
 	away atomic.Bool
 }
 
+// ip is the box's address.
+func (b *virtualBox) ip() netip.Addr { return netip.MustParseAddrPort(string(b.config.Peers)).Addr() }
+
 // virtualFleet is gateways, their network and their store in virtual time. It is used within a
 // bubble of testing/synctest.
 type virtualFleet struct {
@@ -232,7 +269,9 @@
 func (f *virtualFleet) stop() {
 	var all sync.WaitGroup
 	for _, b := range f.boxes {
-		all.Go(b.kill)
+		if !b.down {
+			all.Go(b.kill)
+		}
 	}
 	all.Wait()
 }
@@ -298,6 +337,13 @@
 	all time.Duration
 }
 
+// add counts a suspension.
+func (s *suspended) add(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all += d
+}
+
 // Suspended implements graniteknot.Suspension.
 func (s *suspended) Suspended() time.Duration {
 	s.mu.Lock()
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -207,12 +207,12 @@
 	},
 	{
 		Name: "a gateway that is behind refuses", File: "internal/core/gateway/refusal.go",
-		Old: "return age < g.proofAge() && g.newer.behind(g.Clock.Now()) == 0", New: "return age < g.proofAge()",
+		Old: "return age < proofAge && !g.behind()", New: "return age < proofAge",
 		Package: "internal/core/gateway", Test: "TestNoRefusalByAVersionThatIsKnownToBeOld", Says: "answered 401",
 	},
 	{
 		Name: "a gateway refuses by an old proof", File: "internal/core/gateway/refusal.go",
-		Old: "return age < g.proofAge() && ", New: "return age < 1000*g.proofAge() && ",
+		Old: "return age < proofAge && ", New: "return age < 1000*proofAge && ",
 		Package: "internal/core/gateway", Test: "TestNoRefusalWithoutProof", Says: "answered 401",
 	},
 	{
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -30,6 +30,7 @@
 	cut       map[pair]bool
 	listeners map[graniteknot.Address]*listener
 	sockets   map[netip.AddrPort]*socket
+	carried   uint64
 }
 
 // pair is a direction between two boxes, by their IP addresses.
@@ -52,6 +53,13 @@
 	n.cut[pair{from, to}] = cut
 }
 
+// Carried counts the bytes of all datagrams that arrived.
+func (n *Network) Carried() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.carried
+}
+
 // Listen implements graniteknot.Network.
 func (n *Network) Listen(_ context.Context, a graniteknot.Address) (net.Listener, error) {
 	n.mu.Lock()
--- a/internal/standin/network/socket.go
+++ b/internal/standin/network/socket.go
@@ -37,6 +37,9 @@
 	n.mu.Lock()
 	far := n.sockets[to]
 	arrives := far != nil && n.carries(s.address, to)
+	if arrives {
+		n.carried += uint64(len(b))
+	}
 	n.mu.Unlock()
 	if !arrives {
 		return len(b), nil
