--- a/Makefile
+++ b/Makefile
@@ -39,9 +39,15 @@
 	GRANITEKNOT_SOAK=1 $(GO) test -count 1 -timeout 30m -rapid.checks 50000 ./claim ./fold ./internal/core/relay
 	GRANITEKNOT_SOAK_SEEDS=50 GRANITEKNOT_SOAK_SEED=1 $(GO) test -count 1 -timeout 60m -v ./internal/soak
 
-# The seeds of the fold's fuzz test are committed; this looks for more.
+# All fuzz targets in turn; their seeds are part of the tests.
+FUZZTIME ?= 60s
 fuzz:
-	$(GO) test -run '^$$' -fuzz FuzzApply -fuzztime 60s ./fold
+	@set -e; for package in $$(grep -rl --include=*_test.go '^func Fuzz' . | xargs -n1 dirname | sort -u); do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$package/*_test.go); do \
+			echo "$$package $$target"; \
+			$(GO) test -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME) $$package; \
+		done; \
+	done
 
 # Needs protoc, Debian's protobuf-compiler.
 generate:
--- a/internal/core/gateway/newer.go
+++ b/internal/core/gateway/newer.go
@@ -195,10 +195,10 @@
 func (g *Gateway) takeFrom(ctx context.Context, m presence.Member, own uint64) bool {
 	asked := g.Clock.Now()
 	answer, err := g.askPeer(ctx, m.Peers, askSettings)
-	if err != nil || answer.state <= own {
+	if err != nil || answer.State <= own {
 		return false
 	}
-	p := proof{from: m, standing: answer, at: asked.Add(-answer.age)}
+	p := proof{from: m, Standing: answer, at: asked.Add(-answer.Age)}
 	records, ok := g.take(ctx, &p, askSettingsPart)
 	if !ok {
 		return false
--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -10,6 +10,7 @@
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
+	"graniteknot.org/go/internal/core/readers"
 	"graniteknot.org/go/internal/delay"
 )
 
@@ -47,9 +48,9 @@
 
 // proof is what a reader proves of a topic.
 type proof struct {
-	// from is the reader that was asked; standing is what it answered, as of at.
+	// from is the reader that was asked; Standing is what it answered, as of at.
 	from presence.Member
-	standing
+	readers.Standing
 	at time.Time
 	// unread tells that the reader knows no state yet.
 	unread bool
@@ -58,26 +59,26 @@
 }
 
 // source is whose read the proof is, and who told it.
-func (p *proof) source() source { return source{p.from.Box, p.reader} }
+func (p *proof) source() source { return source{p.from.Box, p.Reader} }
 
 // revalidateSettings tells whether a reader proves that the tree is the newest, or
 // hands on a newer one.
 func (g *Gateway) revalidateSettings(ctx context.Context) bool {
-	readers := g.provers(askSettings, g.Clock.Now())
-	if len(readers) == 0 {
+	from := g.provers(askSettings, g.Clock.Now())
+	if len(from) == 0 {
 		return false
 	}
-	p, ok := g.askRead(ctx, readers, askSettings, g.trust(askSettings))
+	p, ok := g.askRead(ctx, from, askSettings, g.trust(askSettings))
 	if !ok {
 		return !g.mayCall(askSettings, p.answered, g.Clock.Now())
 	}
 	now := g.Clock.Now()
 	tree, age := g.Trees.Current(now)
 	switch {
-	case tree != nil && p.state == uint64(tree.Version):
-		g.settingsFrom.Store(&source{p.from.Box, p.reader})
+	case tree != nil && p.State == uint64(tree.Version):
+		g.settingsFrom.Store(&source{p.from.Box, p.Reader})
 		return g.Trees.Prove(tree.Version, p.at)
-	case tree != nil && p.state < uint64(tree.Version):
+	case tree != nil && p.State < uint64(tree.Version):
 		// The reader has yet to see what this gateway was told by another one.
 		return age < settingsTrust
 	}
@@ -87,28 +88,28 @@
 	}
 	g.handSettings(records, p.at, p.source())
 	tree, _ = g.Trees.Current(now)
-	return tree != nil && uint64(tree.Version) >= p.state
+	return tree != nil && uint64(tree.Version) >= p.State
 }
 
 // revalidateReplicas tells whether a reader proves that the replicas are known, or
 // hands on others.
 func (g *Gateway) revalidateReplicas(ctx context.Context) bool {
-	readers := g.provers(askReplicas, g.Clock.Now())
-	if len(readers) == 0 {
+	from := g.provers(askReplicas, g.Clock.Now())
+	if len(from) == 0 {
 		return false
 	}
 	trust := g.trust(askReplicas)
-	p, ok := g.askRead(ctx, readers, askReplicas, trust)
+	p, ok := g.askRead(ctx, from, askReplicas, trust)
 	if !ok {
 		return !g.mayCall(askReplicas, p.answered, g.Clock.Now())
 	}
-	if p.sound {
+	if p.Sound {
 		g.Health.Elsewhere(p.at)
 	}
 	now := g.Clock.Now()
 	age, read := g.validity.age(now)
 	switch {
-	case read && p.state == uint64(g.Fleet.Digest()):
+	case read && p.State == uint64(g.Fleet.Digest()):
 		g.validity.prove(p.at)
 		return true
 	case read && !p.at.After(now.Add(-age)):
@@ -120,7 +121,7 @@
 		return false
 	}
 	g.handReplicas(records, p.at)
-	return p.state == uint64(g.Fleet.Digest())
+	return p.State == uint64(g.Fleet.Digest())
 }
 
 // take takes records from a reader that has others: nearly all gateways would else call
@@ -137,9 +138,9 @@
 
 // askRead asks readers for the state of a topic until one has read it, as after a start
 // of all gateways at once.
-func (g *Gateway) askRead(ctx context.Context, readers []presence.Member, kind presence.Kind, trust time.Duration) (proof, bool) {
+func (g *Gateway) askRead(ctx context.Context, from []presence.Member, kind presence.Kind, trust time.Duration) (proof, bool) {
 	for {
-		p, ok := g.askReaders(ctx, readers, kind, trust)
+		p, ok := g.askReaders(ctx, from, kind, trust)
 		if !p.unread {
 			return p, ok
 		}
@@ -152,49 +153,47 @@
 
 // askReaders asks a reader or two for the state of a topic, and returns it with
 // the time from which on it is proved; false when none knows it well enough.
-func (g *Gateway) askReaders(ctx context.Context, readers []presence.Member, kind presence.Kind, trust time.Duration) (proof, bool) {
+func (g *Gateway) askReaders(ctx context.Context, from []presence.Member, kind presence.Kind, trust time.Duration) (proof, bool) {
 	answered := false
 	first := g.validity.first()
-	for i := range min(revalidateTries, len(readers)) {
-		reader := readers[(first+i)%len(readers)]
+	for i := range min(revalidateTries, len(from)) {
+		reader := from[(first+i)%len(from)]
 		asked := g.Clock.Now()
 		told, err := g.askPeer(ctx, reader.Peers, kind)
 		if errors.Is(err, errUnread) {
 			return proof{from: reader, unread: true}, true
 		}
 		answered = answered || err == nil
-		at := asked.Add(-told.age)
+		at := asked.Add(-told.Age)
 		if err == nil && g.Clock.Since(at) < trust {
 			g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "proved"})
 			g.validity.prefer(first + i)
 			g.validity.doubt(kind, false, asked)
-			return proof{from: reader, standing: told, at: at}, true
+			return proof{from: reader, Standing: told, at: at}, true
 		}
 		g.Meter.Count("graniteknot_revalidations_total", meter.Label{Name: "result", Value: "doubted"})
 		if err == nil || ctx.Err() == nil {
 			g.Log.Info("reader doubted", slog.String("reader", string(reader.Box)), slog.Int("kind", int(kind)),
-				eventlog.Milliseconds("age", g.Clock.Since(at)), slog.String("read_by", string(told.reader)), slog.Any("error", err))
+				eventlog.Milliseconds("age", g.Clock.Since(at)), slog.String("read_by", string(told.Reader)), slog.Any("error", err))
 		}
 	}
 	return proof{answered: answered}, false
 }
 
 // askPeer asks a gateway for the state of a topic.
-func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (standing, error) {
+func (g *Gateway) askPeer(ctx context.Context, to graniteknot.Address, kind presence.Kind) (readers.Standing, error) {
 	short, cancel := context.WithTimeout(ctx, revalidateTime)
 	defer cancel()
 	body, err := g.socket.Ask(short, to, kind, nil)
 	if err != nil {
-		return standing{}, err
+		return readers.Standing{}, err
 	}
 	if len(body) == 0 {
-		return standing{}, errUnread
+		return readers.Standing{}, errUnread
 	}
-	return decodeStanding(body)
+	return readers.DecodeStanding(body)
 }
 
-var errMalformed = errors.New("malformed answer")
-
 // answerPeer answers another process's question; a state that is not known yet with
 // nothing.
 func (g *Gateway) answerPeer(_ context.Context, kind presence.Kind, body []byte) ([]byte, error) {
@@ -221,11 +220,11 @@
 		}
 		return g.standing(uint64(g.Fleet.Digest()), age, ""), nil
 	}
-	return nil, errMalformed
+	return nil, readers.ErrMalformed
 }
 
 // standing is this gateway's answer on a topic.
 func (g *Gateway) standing(state uint64, age time.Duration, reader graniteknot.BoxName) []byte {
-	s := standing{state: state, age: age, sound: !g.Health.Doubtful(g.Clock.Now(), doubtTime), reader: reader}
-	return s.encode()
+	s := readers.Standing{State: state, Age: age, Sound: !g.Health.Doubtful(g.Clock.Now(), doubtTime), Reader: reader}
+	return s.Encode()
 }
--- a/internal/core/gateway/share.go
+++ b/internal/core/gateway/share.go
@@ -139,7 +139,7 @@
 		peer := peers[(first+i)%len(peers)]
 		asked := g.Clock.Now()
 		told, err := g.askPeer(ctx, peer.Peers, stateKind)
-		if err != nil || !wanted(told.state) {
+		if err != nil || !wanted(told.State) {
 			continue
 		}
 		records, err := g.socket.Fetch(ctx, peer.Peers, partKind)
@@ -147,8 +147,8 @@
 			g.Log.Warn("records of a peer", slog.String("peer", string(peer.Box)), slog.String("error", err.Error()))
 			continue
 		}
-		g.Log.Info("records of a peer", slog.String("peer", string(peer.Box)), slog.Int("records", len(records)), eventlog.Milliseconds("age", told.age))
-		take(records, asked.Add(-told.age), source{peer.Box, told.reader})
+		g.Log.Info("records of a peer", slog.String("peer", string(peer.Box)), slog.Int("records", len(records)), eventlog.Milliseconds("age", told.Age))
+		take(records, asked.Add(-told.Age), source{peer.Box, told.Reader})
 		return true
 	}
 	return false
--- a/internal/core/gateway/young.go
+++ b/internal/core/gateway/young.go
@@ -13,7 +13,7 @@
 
 const (
 	// youngFor is how long after its start a gateway holds requests until it knows a
-	// configuration: about twice what the first read takes where all start at once. Most of
+	// configuration and the replicas: about twice what the first read takes where all start at once. Most of
 	// those who come right after a loss of power have no other try left. Where the store is
 	// away they are refused after that time, and later ones at once.
 	youngFor = 700 * time.Millisecond
@@ -25,12 +25,15 @@
 )
 
 // tree returns the configuration in force and its age; nil where none is known, and this
-// process has not just started.
+// process has not just started. One that has just started knows the replicas' records as well.
 func (g *Gateway) tree(ctx context.Context) (*catalog.Tree, time.Duration) {
 	for {
 		now := g.Clock.Now()
 		tree, age := g.Trees.Current(now)
-		if tree != nil || now.Sub(g.started) > youngFor || ctx.Err() != nil {
+		if now.Sub(g.started) > youngFor || ctx.Err() != nil {
+			return tree, age
+		}
+		if _, read := g.validity.age(now); read && tree != nil {
 			return tree, age
 		}
 		delay.For(ctx, youngLook)
@@ -55,8 +58,8 @@
 		if err != nil {
 			continue
 		}
-		if told.state > uint64(shown) {
-			g.takeBeforeFirst(ctx, &proof{from: peers[i], standing: told, at: asked.Add(-told.age)}, shown)
+		if told.State > uint64(shown) {
+			g.takeBeforeFirst(ctx, &proof{from: peers[i], Standing: told, at: asked.Add(-told.Age)}, shown)
 		}
 		return
 	}
--- a/internal/core/gateway/young_test.go
+++ b/internal/core/gateway/young_test.go
@@ -1,9 +1,12 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
+	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/standin/keyed"
 )
 
@@ -23,3 +26,34 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// lateStore answers on one topic late.
+type lateStore struct {
+	graniteknot.KeyedStore
+
+	topic graniteknot.Topic
+	late  time.Duration
+}
+
+// Newest implements graniteknot.KeyedStore.
+func (s *lateStore) Newest(ctx context.Context, t graniteknot.Topic) (graniteknot.KeyedPage, error) {
+	if t == s.topic {
+		time.Sleep(s.late)
+	}
+	return s.KeyedStore.Newest(ctx, t)
+}
+
+// TestYoungGatewayHoldsUntilItKnowsReplicas sends requests to a gateway that has read its
+// configuration and not yet the replicas' records, and to one that has neither.
+func TestYoungGatewayHoldsUntilItKnowsReplicas(t *testing.T) {
+	for _, late := range []graniteknot.Topic{graniteknot.TopicReplicas, graniteknot.TopicSettings} {
+		d := &deployment{store: &keyed.Store{}, keys: []string{"k1"}}
+		d.replica(newReplica(t, "i-1"), false)
+		d.put()
+		b := start(t, &lateStore{d.store, late, 200 * time.Millisecond}, nil)
+		if a := b.ask("/once/x", "k1"); a.status != http.StatusOK {
+			t.Errorf("%s late: %+v", late, a)
+		}
+		b.stop()
+	}
+}
--- a/internal/core/readers/standing.go
+++ b/internal/core/readers/standing.go
@@ -1,58 +1,67 @@
-package gateway
+package readers
 
 import (
 	"encoding/binary"
+	"errors"
 	"time"
 
 	graniteknot "graniteknot.org/go"
 )
 
-// standing is what a gateway answers on a topic of the store.
-type standing struct {
-	// state is the topic's.
-	state uint64
-	// age is how long ago the read began that showed the state.
-	age time.Duration
-	// sound tells that the gateway has had no trouble with the store of late.
-	sound bool
-	// reader is the gateway that read it; empty from gateways of earlier builds.
-	reader graniteknot.BoxName
+// Standing is what a gateway answers on a topic of the store.
+type Standing struct {
+	// State is the topic's.
+	State uint64
+	// Age is how long ago the read began that showed the state.
+	Age time.Duration
+	// Sound tells that the gateway has had no trouble with the store of late.
+	Sound bool
+	// Reader is the gateway that read it; empty from gateways of earlier builds.
+	Reader graniteknot.BoxName
 }
 
 const (
 	// soundMark stands for a gateway that has had no trouble with the store of late.
 	soundMark = 1
-	// oldestAge bounds the age in an answer.
-	oldestAge = time.Hour
+	// oldest bounds the age in an answer, and longestName the reader's name.
+	oldest      = time.Hour
+	longestName = 255
 )
 
-// encode writes a standing: its state and its age in microseconds as varints, a byte of
+// ErrMalformed is an answer that can't be read.
+var ErrMalformed = errors.New("malformed answer")
+
+// Encode writes a standing: its state and its age in microseconds as varints, a byte of
 // marks, and the reader's name. The age is rounded up.
-func (s *standing) encode() []byte {
-	out := binary.AppendUvarint(nil, s.state)
-	out = binary.AppendUvarint(out, uint64(s.age/time.Microsecond)+1)
+func (s *Standing) Encode() []byte {
+	out := binary.AppendUvarint(nil, s.State)
+	out = binary.AppendUvarint(out, uint64(s.Age/time.Microsecond)+1)
 	marks := byte(0)
-	if s.sound {
+	if s.Sound {
 		marks |= soundMark
 	}
-	return append(append(out, marks), s.reader...)
+	return append(append(out, marks), s.Reader...)
 }
 
-// decodeStanding is the inverse of encode. Gateways of earlier builds end their answers
+// DecodeStanding is the inverse of Encode. Gateways of earlier builds end their answers
 // before the marks or the reader.
-func decodeStanding(body []byte) (standing, error) {
+func DecodeStanding(body []byte) (Standing, error) {
 	state, n := binary.Uvarint(body)
 	if n <= 0 {
-		return standing{}, errMalformed
+		return Standing{}, ErrMalformed
 	}
 	micros, m := binary.Uvarint(body[n:])
-	if m <= 0 || micros > uint64(oldestAge/time.Microsecond) {
-		return standing{}, errMalformed
+	if m <= 0 || micros > uint64(oldest/time.Microsecond) {
+		return Standing{}, ErrMalformed
+	}
+	s := Standing{State: state, Age: time.Duration(micros) * time.Microsecond}
+	rest := body[n+m:]
+	if len(rest) == 0 {
+		return s, nil
 	}
-	s := standing{state: state, age: time.Duration(micros) * time.Microsecond}
-	if rest := body[n+m:]; len(rest) > 0 {
-		s.sound = rest[0]&soundMark != 0
-		s.reader = graniteknot.BoxName(rest[1:])
+	if len(rest) > 1+longestName {
+		return Standing{}, ErrMalformed
 	}
+	s.Sound, s.Reader = rest[0]&soundMark != 0, graniteknot.BoxName(rest[1:])
 	return s, nil
 }
