Long reads begin anew once the store answers again: gateways that started in an outage know each other

Cause, from the logs: four of six have no line of any other member. Their reads of the members wait for 20 s, their answers were lost, and nobody began another; the incident's class, a read that hangs and is believed to wait. Ruled out: the limits' own way, each request had a permit of the gateway's own.

Where the store answers a gateway again after a call that had no answer, its long reads (members, quarantine) are begun anew. The soak has an operator who writes versions in series, large ones among them (three in seven gateways read for all).

--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -8,6 +8,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/delay"
+	"graniteknot.org/go/internal/group"
 )
 
 const (
@@ -193,7 +194,7 @@
 // call makes a call that waits for at most a time.
 func (f *Follower) call(ctx context.Context, began time.Time, wait time.Duration, do func(context.Context) (graniteknot.KeyedPage, error)) (graniteknot.KeyedPage, error) {
 	if !f.Vital {
-		return do(ctx)
+		return f.long(ctx, do)
 	}
 	bounded, cancel := context.WithTimeout(ctx, wait+f.Health.Margin()<<(f.failures%patienceSteps))
 	defer cancel()
@@ -214,6 +215,29 @@
 	return page, err
 }
 
+// long makes a call that may wait for long. It is given up when the store answers other calls
+// again after it did not: its own answer may be lost.
+func (f *Follower) long(ctx context.Context, do func(context.Context) (graniteknot.KeyedPage, error)) (graniteknot.KeyedPage, error) {
+	regained := f.Health.Regained()
+	inner, cancel := context.WithCancel(ctx)
+	var watcher group.Group
+	watcher.Go(func(context.Context) {
+		select {
+		case <-regained:
+			cancel()
+		case <-inner.Done():
+		}
+	})
+	page, err := do(inner)
+	given := err != nil && inner.Err() != nil && ctx.Err() == nil
+	cancel()
+	watcher.Wait()
+	if given {
+		return page, errOverdue
+	}
+	return page, err
+}
+
 // ended notes the end of a call that was asked to wait for a time.
 func (f *Follower) ended(began time.Time, wait time.Duration, err error) {
 	answered := err == nil || errors.Is(err, graniteknot.ErrTrimmed) || errors.Is(err, graniteknot.ErrEra)
--- a/internal/core/watch/health.go
+++ b/internal/core/watch/health.go
@@ -28,6 +28,10 @@
 	// needs for an answer of late.
 	readings map[graniteknot.Topic]reading
 	took     time.Duration
+	// missed tells that a call of one of these had no answer since the store last answered one;
+	// regained is closed when it does again, nil while nobody waits for that.
+	missed   bool
+	regained chan struct{}
 	// elsewhere is as of when another process, which had no trouble with the store, last read
 	// it; renewed tells that the last return was that of an older copy.
 	elsewhere time.Time
--- a/internal/core/watch/overdue.go
+++ b/internal/core/watch/overdue.go
@@ -51,11 +51,32 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.readings[t] = reading{failed: !answered}
+	if !answered {
+		h.missed = true
+	} else if h.missed {
+		// Other calls of that time may wait for answers that do not come.
+		h.missed = false
+		if h.regained != nil {
+			close(h.regained)
+			h.regained = nil
+		}
+	}
 	if took > 0 {
 		h.took = max(took, time.Duration((1-tookWeight)*float64(h.took)+tookWeight*float64(took)))
 	}
 }
 
+// Regained returns a channel that is closed when the store answers again after a call of a
+// vital topic had no answer.
+func (h *Health) Regained() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.regained == nil {
+		h.regained = make(chan struct{})
+	}
+	return h.regained
+}
+
 // Lost tells whether the store does not answer this process: the last call on a topic had no
 // answer, or one is overdue.
 func (h *Health) Lost(now time.Time) bool {
--- a/internal/core/watch/overdue_test.go
+++ b/internal/core/watch/overdue_test.go
@@ -115,3 +115,48 @@
 		}
 	})
 }
+
+// TestLongReadsBeginAnewAfterALoss loses the answers to all calls for a while: a change that a
+// long read was waiting for is seen soon after the store's return, not when that read's time is over.
+func TestLongReadsBeginAnewAfterALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &keyed.Store{}
+		var health watch.Health
+		var seen atomic.Int32
+		nothing := func([]graniteknot.KeyedRecord, time.Time) {}
+		take := func(r []graniteknot.KeyedRecord, _ time.Time) { seen.Add(int32(len(r))) }
+		var run group.Group
+		for _, x := range []watch.Follower{
+			{Store: store, Topic: "often", Health: &health, Wait: time.Second, Vital: true, Newest: nothing, Next: nothing},
+			{Store: &mutedStore{Store: store}, Topic: "rarely", Health: &health, Wait: 20 * time.Second, Newest: take, Next: take},
+		} {
+			run.Go(func(ctx context.Context) { x.Run(ctx) })
+		}
+		defer run.Stop()
+		time.Sleep(500 * time.Millisecond)
+		store.Set(keyed.FaultLose)
+		store.Put("rarely", "a", []byte("1"))
+		time.Sleep(4 * time.Second)
+		store.Set(keyed.FaultNone)
+		time.Sleep(2 * time.Second)
+		if seen.Load() == 0 {
+			t.Error("the change was not seen")
+		}
+	})
+}
+
+// mutedStore never answers its first read.
+type mutedStore struct {
+	*keyed.Store
+
+	asked atomic.Bool
+}
+
+// Read implements graniteknot.KeyedStore.
+func (s *mutedStore) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
+	if s.asked.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return graniteknot.KeyedPage{}, ctx.Err()
+	}
+	return s.Store.Read(ctx, t, from, wait)
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -215,6 +215,11 @@
 		Old: "return age < proofAge && ", New: "return age < 1000*proofAge && ",
 		Package: "internal/core/gateway", Test: "TestNoRefusalWithoutProof", Says: "answered 401",
 	},
+	{
+		Name: "long reads wait on after a loss", File: "internal/core/watch/overdue.go",
+		Old: "\t\t\tclose(h.regained)\n", New: "",
+		Package: "internal/core/watch", Test: "TestLongReadsBeginAnewAfterALoss", Says: "not seen",
+	},
 	{
 		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
 		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -38,6 +38,7 @@
 	for _, c := range calls {
 		known[c.id] = true
 		out = append(out, checkCall(c, ran[c.id])...)
+		out = append(out, checkSettled(c)...)
 	}
 	for id := range ran {
 		if !known[id] {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,6 +29,7 @@
 	proxy    *proxy
 	binary   string
 	settings string
+	readers  int
 	log      *os.File
 	group    group.Group
 
@@ -47,16 +48,16 @@
 	frozen bool
 }
 
-func newProcess(ctx context.Context, binary, dir, ip string, store graniteknot.Address) (*process, error) {
+func newProcess(ctx context.Context, o *Options, ip string, store graniteknot.Address) (*process, error) {
 	way, err := newProxy(ctx, store)
 	if err != nil {
 		return nil, err
 	}
 	p := &process{
-		box: graniteknot.BoxName(ip), requests: graniteknot.Address(ip + ":18001"), proxy: way, binary: binary,
-		settings: filepath.Join(dir, ip+".ini"),
+		box: graniteknot.BoxName(ip), requests: graniteknot.Address(ip + ":18001"), proxy: way, binary: o.Binary,
+		settings: filepath.Join(o.Dir, ip+".ini"), readers: o.Readers,
 	}
-	if p.log, err = os.Create(filepath.Join(dir, ip+".log")); err != nil {
+	if p.log, err = os.Create(filepath.Join(o.Dir, ip+".log")); err != nil {
 		return nil, err
 	}
 	if err := p.write(0); err != nil {
@@ -81,6 +82,7 @@
 peers = %[1]s:18004
 [store]
 address = %[3]s
+readers = %[7]d
 [bounds]
 key_age = %[4]s
 drain = %[5]s
@@ -88,7 +90,7 @@
 [retries]
 share = 0.2
 extra = 90
-`, p.box, stopBound, p.proxy.address(), keyAge, drainTime, 2+reloads%3)
+`, p.box, stopBound, p.proxy.address(), keyAge, drainTime, 2+reloads%3, p.readers)
 	return os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,10 @@
 	Limits bool
 	// Drills has the store come back from older copies of itself.
 	Drills bool
+	// Series has an operator write versions in series, large ones among them, before gateways of
+	// which Readers read the store for all.
+	Series  bool
+	Readers int
 	// Say is told each fault; nil for nobody.
 	Say func(string)
 }
@@ -85,7 +89,7 @@
 	for i := range o.Gateways {
 		pid := os.Getpid()
 		ip := fmt.Sprintf("127.%d.%d.%d", 2+pid%60, (pid/60)%250+1, i+1)
-		p, err := newProcess(ctx, o.Binary, o.Dir, ip, w.store.Address())
+		p, err := newProcess(ctx, o, ip, w.store.Address())
 		if err != nil {
 			return out, err
 		}
@@ -121,6 +125,11 @@
 	if o.Limits {
 		load.Go(func(context.Context) { w.limits(calling, rand.New(rand.NewPCG(o.Seed, limitsStream)).IntN) })
 	}
+	var settled []*caller
+	if o.Series {
+		load.Go(func(context.Context) { w.series(calling, rand.New(rand.NewPCG(o.Seed, seriesStream)).IntN) })
+		settled = callSettled(calling, o, w, gateways, &load)
+	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
 	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
 	var findings []Finding
@@ -130,7 +139,7 @@
 	stop()
 	load.Wait()
 	var calls []*call
-	for _, c := range append(callers, others) {
+	for _, c := range append(append(callers, others), settled...) {
 		calls = append(calls, c.calls...)
 	}
 	return calls, findings
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,13 +26,16 @@
 	// A replica that had asked for rest got 34 requests: its next life had asked, and its record
 	// was read later: two of some hundred plays.
 	{seed: 9031, ends: true, words: true, limits: true},
+	// Gateways that had started did not know each other for 20 s, and each dealt out a limit by
+	// itself: their reads of the members hung since an outage.
+	{seed: 11005, ends: true, words: true, limits: true},
 }
 
 // story is a seed with what it plays beside the faults.
 type story struct {
 	seed                uint64
 	ends, words, drills bool
-	limits              bool
+	limits, series      bool
 	// calm plays have few faults beside the rest, which else leave no time in which it is sure
 	// what gateways could know.
 	calm bool
@@ -53,11 +56,15 @@
 }
 
 // limitedGateways and limitedFaults are how many processes and faults there are in plays with
-// limits, calmFaults how many faults in calm ones.
+// limits, calmFaults how many faults in calm ones, seriesGateways, seriesReaders and seriesFaults those of plays
+// with versions in series.
 const (
 	limitedGateways = 6
 	limitedFaults   = 5
 	calmFaults      = 2
+	seriesGateways  = 7
+	seriesReaders   = 3
+	seriesFaults    = 6
 )
 
 // gateways is how many processes there are; 0 for the usual number.
@@ -82,9 +89,13 @@
 	if x.calm {
 		faults = min(faults, calmFaults)
 	}
+	readers := 0
+	if x.series {
+		boxes, readers, faults = max(boxes, seriesGateways), seriesReaders, min(faults, seriesFaults)
+	}
 	result, err := soak.Run(context.Background(), soak.Options{
 		Binary: program, Dir: dir, Seed: seed, Gateways: boxes, Faults: faults, Span: span, Ends: x.ends, Words: x.words, Drills: x.drills,
-		Limits: x.limits, Say: func(line string) { told = append(told, line) },
+		Limits: x.limits, Series: x.series, Readers: readers, Say: func(line string) { told = append(told, line) },
 	})
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
@@ -112,9 +123,10 @@
 }
 
 // TestSoak plays a short seed, and those that ever failed. GRANITEKNOT_SOAK is a
-// number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, each second one
+// number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, or GRANITEKNOT_SOAK_ONLY of these; each second one
 // with a request that ends replicas and odd records, two in three with replicas that ask for rest
-// or say that they leave, half with drills of the store, half of these with few faults beside, and two in five with limits.
+// or say that they leave, half with drills of the store, half of these with few faults beside, two in five with
+// limits, and one in three with versions in series.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are not built with the race detector")
@@ -122,8 +134,12 @@
 	program := binary(t)
 	if count, _ := strconv.Atoi(os.Getenv("GRANITEKNOT_SOAK_SEEDS")); count > 0 {
 		first, _ := strconv.ParseUint(os.Getenv("GRANITEKNOT_SOAK_SEED"), 10, 64)
+		only, chosen := os.LookupEnv("GRANITEKNOT_SOAK_ONLY")
 		for i := range uint64(count) {
-			play(t, program, 14, 20*time.Second, story{seed: first + i, ends: i%2 == 1, words: i%3 != 0, drills: i%4 >= 2, limits: i%5 < 2, calm: i%4 == 2})
+			if chosen && only != strconv.FormatUint(first+i, 10) {
+				continue
+			}
+			play(t, program, 14, 20*time.Second, story{seed: first + i, ends: i%2 == 1, words: i%3 != 0, drills: i%4 >= 2, limits: i%5 < 2, calm: i%4 == 2, series: i%3 == 1})
 		}
 		return
 	}
@@ -131,6 +147,7 @@
 	play(t, program, 6, 16*time.Second, story{seed: 2, ends: true})
 	play(t, program, 4, 12*time.Second, story{seed: 3, words: true, drills: true})
 	play(t, program, 4, 14*time.Second, story{seed: 4, limits: true})
+	play(t, program, 6, 16*time.Second, story{seed: 5, series: true})
 	for _, x := range failed {
 		play(t, program, 14, 20*time.Second, x)
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -33,8 +33,10 @@
 type world struct {
 	store *platformtest.Store
 
-	mu       sync.Mutex
-	version  int
+	mu      sync.Mutex
+	version int
+	// routes are how many routes more the configuration has.
+	routes   int
 	born     int
 	replicas []*standing
 	// all are the replicas that ever were.
@@ -64,6 +66,8 @@
 	text string
 	// removed is when the store took the configuration without it; zero before.
 	removed time.Time
+	// added is when it took the first with it; zero for the first keys.
+	added time.Time
 }
 
 func newWorld(replicas int) (*world, error) {
@@ -181,7 +185,7 @@
 			keys = append(keys, k.text)
 		}
 	}
-	w.store.Records.Put(graniteknot.TopicSettings, "config", platformtest.Config(w.version, host, service, keys))
+	w.store.Records.Put(graniteknot.TopicSettings, "config", platformtest.ConfigOf(w.version, host, service, keys, w.routes))
 }
 
 // revoke takes the oldest key away and gives a new one.
