Gateways that start together for the first time wait for each other before they read

A gateway of which the store has no record waits until many are known, or no more have come for 0.6 s, or 1 s, and no longer than until the first request. Of all others none waits.

Only those that stand by look at once when another gateway loses the store.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,11 +72,16 @@
 	socket *presence.Socket
 	// census learns who is known from relays.
 	census presence.Census
-	// met is closed once the members are known, or can't be read.
+	// met is closed once the members are known, or can't be read; before that unknown is set
+	// where the store has no record of this gateway.
 	met     chan struct{}
-	started time.Time
-	servers servers
-	group   group.Group
+	unknown bool
+	// wanted is closed when a request first has to wait for the configuration.
+	wanted     chan struct{}
+	wantedOnce sync.Once
+	started    time.Time
+	servers    servers
+	group      group.Group
 	// validity knows how old the replicas' records are.
 	validity validity
 	// shared are the records that other gateways may take.
@@ -123,7 +129,7 @@
 	}
 	p.Store = &watch.Metered{Store: p.Store, Meter: p.Meter}
 	g := &Gateway{
-		Parts: p, met: make(chan struct{}), due: make(chan struct{}, 1),
+		Parts: p, met: make(chan struct{}), wanted: make(chan struct{}), due: make(chan struct{}, 1),
 		settingsWake: make(chan struct{}, 1), replicasWake: make(chan struct{}, 1),
 		newerWake: make(chan struct{}, 1), relayWake: make(chan struct{}, 1),
 	}
@@ -173,7 +179,7 @@
 	g.group.Go(g.relayEarly)
 	registrar := &presence.Registrar{
 		Store: g.Store, Self: g.self(), View: &g.Members, Health: &g.Health, Log: g.Log, Clock: g.Clock,
-		Joined: g.greet, Elsewhere: g.askCensus, Met: func() { close(g.met) },
+		Joined: g.greet, Elsewhere: g.askCensus, Met: g.membersMet,
 	}
 	g.group.Go(registrar.Register)
 	g.group.Go(registrar.Follow)
--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -38,8 +38,21 @@
 // relaySpacing is the least time between two bundles that are sent early.
 const relaySpacing = 50 * time.Millisecond
 
-// meetTime bounds how long a gateway that starts waits for the members' records.
-const meetTime = 250 * time.Millisecond
+const (
+	// meetTime bounds how long a gateway that starts waits for the members' records.
+	meetTime = 250 * time.Millisecond
+	// othersTime bounds how long a gateway that never ran before waits for others that start
+	// with it, othersStill is how long no more of them must have come.
+	othersTime  = time.Second
+	othersStill = 600 * time.Millisecond
+	othersLook  = 20 * time.Millisecond
+)
+
+// membersMet notes that the members' records were read, or can't be.
+func (g *Gateway) membersMet(unknown bool) {
+	g.unknown = unknown
+	close(g.met)
+}
 
 // meet waits until the members are known. Then a gateway of a large deployment need not
 // read the store's other records itself: at a start of 149 that is 450 calls.
@@ -48,11 +61,39 @@
 	defer timer.Stop()
 	select {
 	case <-g.met:
+		if g.unknown {
+			g.awaitOthers(ctx)
+		}
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// awaitOthers waits for gateways that start for the first time together with this one: none
+// finds records of all the others, and each would read all that one can read for all. The first
+// request ends it.
+func (g *Gateway) awaitOthers(ctx context.Context) {
+	began := g.Clock.Now()
+	known, since := 0, began
+	for ctx.Err() == nil {
+		now := g.Clock.Now()
+		if n := len(g.Members.Members(presence.RoleGateway, g.Config.Box)); n != known {
+			known, since = n, now
+		}
+		alone := known == 0 || now.Sub(since) < othersStill
+		if g.many(now) || !alone || now.Sub(began) >= othersTime {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(othersLook):
+		case <-g.wanted:
+			// A request waits: it is not held up for the sake of calls.
+			return
+		}
+	}
+}
+
 // askCensus learns from others who is known; the readers read the store.
 func (g *Gateway) askCensus(ctx context.Context) bool {
 	return len(g.readers(g.Clock.Now())) > 0 && g.census.Ask(ctx)
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -81,9 +81,13 @@
 // heardOfReaders looks who reads once others are heard to have lost the store, or to have it
 // again.
 func (g *Gateway) heardOfReaders() {
-	if changes := g.Members.LostChanges(); g.lostChanges.Swap(changes) != changes {
+	changes := g.Members.LostChanges()
+	if g.lostChanges.Swap(changes) == changes {
+		return
+	}
+	wake(g.relayWake)
+	if g.standsBy(g.Clock.Now()) {
 		g.wakeFollowers()
-		wake(g.relayWake)
 	}
 }
 
--- a/internal/core/gateway/refusal_test.go
+++ b/internal/core/gateway/refusal_test.go
@@ -108,6 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newVirtualFleet(t, 1, nil)
 		defer f.stop()
+		time.Sleep(3 * time.Second)
 		for range 40 {
 			time.Sleep(130 * time.Millisecond)
 			began := time.Now()
--- a/internal/core/gateway/young.go
+++ b/internal/core/gateway/young.go
@@ -36,6 +36,7 @@
 		if _, read := g.validity.age(now); read && tree != nil {
 			return tree, age
 		}
+		g.wantedOnce.Do(func() { close(g.wanted) })
 		delay.For(ctx, youngLook)
 	}
 }
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -40,9 +40,10 @@
 	// Joined is called when a member is new, or a new life of one; nil for
 	// nothing.
 	Joined func(Member)
-	// Met is called once, when the members' records were first read or could not be; nil
-	// for nothing.
-	Met func()
+	// Met is called once, when the members' records were first read or could not be; unknown
+	// tells that they were, and that none is of this process or a former life of it. Nil for
+	// nothing.
+	Met func(unknown bool)
 	// Elsewhere learns from other processes who is known, in place of a call to the
 	// store; false when none answers. Nil where nobody does.
 	Elsewhere func(ctx context.Context) bool
@@ -91,9 +92,9 @@
 // Follow keeps the view up to date until ctx is done.
 func (r *Registrar) Follow(ctx context.Context) {
 	var once sync.Once
-	met := func() {
+	met := func(unknown bool) {
 		if r.Met != nil {
-			once.Do(r.Met)
+			once.Do(func() { r.Met(unknown) })
 		}
 	}
 	var again group.Group
@@ -101,7 +102,7 @@
 	newest := func(records []graniteknot.KeyedRecord, began time.Time) {
 		r.take(records, began)
 		r.read.Store(true)
-		met()
+		met(!r.known.Load())
 		if era := r.renewed; era != 0 {
 			r.renewed = 0
 			again.Go(func(ctx context.Context) { r.restore(ctx, era) })
@@ -109,7 +110,7 @@
 	}
 	follower := watch.Follower{
 		Store: r.Store, Topic: graniteknot.TopicMembers, Health: r.Health, Clock: r.Clock, Wait: followWait, Pause: followPause,
-		Newest: newest, Next: r.take, Failed: func(error) { met() }, Revalidate: r.Elsewhere, RevalidatePause: CensusPeriod,
+		Newest: newest, Next: r.take, Failed: func(error) { met(false) }, Revalidate: r.Elsewhere, RevalidatePause: CensusPeriod,
 		Renewed: func(era graniteknot.Era) { r.renewed = era },
 	}
 	follower.Run(ctx)
