--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,7 @@
 	// itself: their reads of the members hung since an outage.
 	{seed: 11005, ends: true, words: true, limits: true},
 	// A replica that had asked for rest got 26 requests: a copy's record of its former life
-	// counted as a heartbeat, so the next one did not have that word: one play.
+	// counted as a heartbeat, so the next one did not have that word: four of four plays.
 	{seed: 12019, ends: true, words: true, drills: true, series: true},
 }
 
