--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -95,6 +95,7 @@
 	registerTimeline(app, commands)
 	registerExplain(app, commands)
 	registerLosses(app, commands)
+	registerVersions(app, commands)
 	registerStandin(app, commands)
 }
 
