--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -127,7 +127,7 @@
 	{
 		Name: "nobody takes newer settings than the store shows", File: "internal/core/gateway/newer.go",
 		Old: "\tif news {\n\t\twake(g.newerWake)\n", New: "\tif news && false {\n\t\twake(g.newerWake)\n",
-		Package: "internal/core/gateway", Test: "TestTakesNewerSettingsThanTheStoreShows", Says: "still",
+		Package: "internal/core/gateway", Test: "TestVersionsAreInForceInTimeThoughReadersAreTurnedAway", Says: "came into force",
 	},
 	{
 		Name: "each gateway holds a limit for itself", File: "internal/core/gateway/limits.go", Old: "\tif home == nil {\n\t\tgrant", New: "\tif home == nil || true {\n\t\tgrant",
@@ -223,7 +223,7 @@
 	{
 		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
 		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
-		Package: "internal/core/watch", Test: "TestLostByAnOverdueRead", Says: "overdue",
+		Package: "internal/core/watch", Test: "TestSlowStoreIsNotLost", Says: "not lost",
 	},
 	{
 		Name: "a gateway that starts believes a store that is behind", File: "internal/core/gateway/follow.go", Old: "\tg.askBeforeFirst(newest.Version)\n", New: "",
