A heartbeat is as old as it may be, not as new as its reading

What a next life inherits is what was heard since the former one's last heartbeat, and that counted as written when it was read, so the word stayed the former life's.

A record that was not known is now taken to be written just after the last proof of the records before it, which is the earliest it can be. The same in fleet.outlive: a heartbeat read late made a life count as living whose sidecar had told of the next one since.

--- a/internal/core/fleet/life_test.go
+++ b/internal/core/fleet/life_test.go
@@ -156,3 +156,17 @@
 		t.Errorf("the next life got nothing: %+v", l)
 	}
 }
+
+// TestLateHeartbeatsOfALifeThatHasEnded has a heartbeat read late that was written before the sidecar
+// told of the next life: the former one gets nothing for it.
+func TestLateHeartbeatsOfALifeThatHasEnded(t *testing.T) {
+	start := time.Now()
+	table := &fleet.Table{}
+	table.Put(lived("old", 1), start.Add(-time.Second))
+	table.Report("a", fleet.Load{Life: catalog.Life{ID: "new"}.Mark(), Taken: start})
+	now := start.Add(time.Second)
+	table.PutSince(lived("old", 2), start.Add(-500*time.Millisecond), now)
+	if l := table.Pick(&fleet.Query{Service: engine, Now: now}); l != nil {
+		t.Errorf("a request was sent to %q, which has ended", l.Replica.ID)
+	}
+}
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -71,9 +71,12 @@
 	t.peers = gateways
 }
 
-// Put adds or changes a registered replica. It returns whether anything but a
-// heartbeat changed.
-func (t *Table) Put(r catalog.Replica, now time.Time) bool {
+// Put adds or changes a registered replica whose record has just been written. It returns
+// whether anything but a heartbeat changed.
+func (t *Table) Put(r catalog.Replica, now time.Time) bool { return t.PutSince(r, now, now) }
+
+// PutSince is Put for a record that may have been written at any time after one.
+func (t *Table) PutSince(r catalog.Replica, since, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.targets == nil {
@@ -86,7 +89,7 @@
 	}
 	old := t.targets[r.ID]
 	if old == nil {
-		t.add(r, now)
+		t.add(r, since, now)
 		return true
 	}
 	if old.replica.Born != r.Born {
@@ -94,7 +97,7 @@
 			return false
 		}
 		t.succeed(old)
-		t.add(r, now)
+		t.add(r, since, now)
 		return true
 	}
 	changed := old.replica.Draining != r.Draining || !old.lapsed.IsZero()
@@ -105,7 +108,7 @@
 	}
 	if r.Written > old.replica.Written && (r.Beat == 0 || r.Beat > old.replica.Beat) {
 		// The store shows a record again after its return from an older copy.
-		old.beat = now
+		old.beat = since
 	}
 	if r.Group != old.replica.Group {
 		t.quit(old)
@@ -122,8 +125,8 @@
 }
 
 // add registers a replica; called with the lock held.
-func (t *Table) add(r catalog.Replica, now time.Time) {
-	added := &target{replica: r, registered: now, own: map[*Lease]struct{}{}}
+func (t *Table) add(r catalog.Replica, since, now time.Time) {
+	added := &target{replica: r, registered: now, since: since, own: map[*Lease]struct{}{}}
 	t.recall(added)
 	t.heedRecord(added, now)
 	t.targets[r.ID] = added
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -31,9 +31,9 @@
 // target is one replica and what is known of it. The table's lock guards it.
 type target struct {
 	replica catalog.Replica
-	// registered is when this process learned of it, beat when it last saw that the
-	// replica had written its record anew; zero before.
-	registered, beat time.Time
+	// registered is when this process learned of it. Since is when its record was written at
+	// the earliest, beat the same of its last heartbeat; zero before.
+	registered, since, beat time.Time
 	// lapsed is when its record vanished without a word while the store could
 	// not be trusted; zero when it is there.
 	lapsed time.Time
--- a/internal/core/fleet/word.go
+++ b/internal/core/fleet/word.go
@@ -47,7 +47,8 @@
 	// how many heartbeats there had been.
 	gone bool
 	beat int64
-	// beaten is when this process last saw a heartbeat of the life that is gone, or the record.
+	// beaten is when the last heartbeat of the life that is gone, or its record, was written at the
+	// earliest.
 	beaten time.Time
 	// failures and until are the target's while the life has no record.
 	failures int
@@ -119,7 +120,7 @@
 // noteGone remembers a life whose record went; called with the lock held.
 func (t *Table) noteGone(x *target) {
 	w := t.wordOf(x, t.Clock.Now())
-	w.gone, w.beat, w.beaten = true, x.replica.Beat, x.registered
+	w.gone, w.beat, w.beaten = true, x.replica.Beat, x.since
 	if x.beat.After(w.beaten) {
 		w.beaten = x.beat
 	}
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -192,6 +192,7 @@
 
 func (g *Gateway) takeReplicas(records []graniteknot.KeyedRecord, began time.Time) {
 	now := g.Clock.Now()
+	since := g.validity.since()
 	defer g.validity.prove(began)
 	for _, r := range records {
 		if len(r.Value) == 0 {
@@ -206,7 +207,7 @@
 			continue
 		}
 		g.shared.putReplica(r)
-		if g.Fleet.Put(replica, now) {
+		if g.Fleet.PutSince(replica, since, now) {
 			g.Log.Info("replica", slog.String("replica", r.Key), slog.String("service", string(replica.Service)),
 				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining),
 				slog.Int64("position", r.At.Offset()))
--- a/internal/core/gateway/validity.go
+++ b/internal/core/gateway/validity.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// since returns from when on records may have been written that were not known; zero is any time.
+func (v *validity) since() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.proved
+}
+
 func (v *validity) age(now time.Time) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -77,6 +77,11 @@
 		Old: "hopeless := now.Add(rest).After(x.wait.Last)", New: "hopeless := false && now.Add(rest).After(x.wait.Last)",
 		Package: "internal/core/fleet", Test: "TestWhoWaitsForRestedReplicas",
 	},
+	{
+		Name: "a heartbeat is as new as its reading", File: "internal/core/gateway/follow.go",
+		Old: "g.Fleet.PutSince(replica, since, now)", New: "g.Fleet.PutSince(replica, now.Add(0*now.Sub(since)), now)",
+		Package: "internal/core/gateway", Test: "TestRestIsNotLostByALateHeartbeat", Says: "though it had asked for rest",
+	},
 	{
 		Name: "a copy's record of a gone life counts", File: "internal/core/fleet/word.go",
 		Old: "if r.Beat > 0 && r.Beat <= w.beat {", New: "if false {",
