Soak: a store that turns some gateways away; no gateway refuses by what it can't know

Half of the plays with series now have the store answer some gateways and others not, three times for 5 to 8 s each. And a 401 for a key that has to be in force is a finding at every gateway that no unplanned fault touched, whether it can read the store or not: one that can't know says 503.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -33,6 +33,41 @@
 	return out
 }
 
+const (
+	// awayFaults is how many times in a run the store turns some gateways away, awayLeast and
+	// awayMost bound for how long.
+	awayFaults = 3
+	awayLeast  = 5 * time.Second
+	awayMost   = 8 * time.Second
+	// awayStream is the stream of the seed that these are drawn from.
+	awayStream = seriesStream + 100
+)
+
+// turnAway draws times in which the store answers some gateways and others not.
+func turnAway(random *rand.Rand, span time.Duration, gateways []*process) []fault {
+	var out []fault
+	for range awayFaults {
+		lasting := awayLeast + time.Duration(random.Int64N(int64(awayMost-awayLeast)))
+		mode := proxyMode(1 + random.IntN(2))
+		some := random.Perm(len(gateways))[:1+random.IntN(len(gateways)-1)]
+		out = append(out, fault{
+			at: time.Duration(random.Int64N(int64(span))), lasting: lasting, name: fmt.Sprint("store turns away ", some, " ", mode),
+			begin: func() {
+				for _, i := range some {
+					gateways[i].blindFor(lasting)
+					gateways[i].proxy.set(mode)
+				}
+			},
+			end: func() {
+				for _, i := range some {
+					gateways[i].proxy.set(proxyPass)
+				}
+			},
+		})
+	}
+	return out
+}
+
 // draw draws one fault.
 func draw(random *rand.Rand, w *world, gateways []*process) fault {
 	i := random.IntN(len(gateways))
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -86,9 +86,9 @@
 }
 
 // checkSettled finds callers that were told that a key is unknown whose version had to be in
-// force, at a gateway that could read the store.
+// force. A gateway that can't know does not say so, whether it can read the store or not.
 func checkSettled(c *call) []Finding {
-	if c.key.added.IsZero() || c.status != http.StatusUnauthorized || !c.calm || !c.seeing || !c.key.removed.IsZero() {
+	if c.key.added.IsZero() || c.status != http.StatusUnauthorized || !c.calm || !c.key.removed.IsZero() {
 		return nil
 	}
 	late := c.sent.Sub(c.key.added)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -42,6 +42,8 @@
 	// which Readers read the store for all.
 	Series  bool
 	Readers int
+	// Away has the store answer some gateways and others not, for seconds.
+	Away bool
 	// Say is told each fault; nil for nobody.
 	Say func(string)
 }
@@ -131,7 +133,11 @@
 		settled = callSettled(calling, o, w, gateways, &load)
 	}
 	random := rand.New(rand.NewPCG(o.Seed, 0))
-	suffer(ctx, o, schedule(random, o.Faults, o.Span, w, gateways))
+	faults := schedule(random, o.Faults, o.Span, w, gateways)
+	if o.Away {
+		faults = append(faults, turnAway(rand.New(rand.NewPCG(o.Seed, awayStream)), o.Span, gateways)...)
+	}
+	suffer(ctx, o, faults)
 	var findings []Finding
 	if !serving(ctx, w, gateways, "after") {
 		findings = append(findings, Finding{"all serve again", "-", fmt.Sprintf("not within %v of the last fault", recoverTime)})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,8 @@
 	// calm plays have few faults beside the rest, which else leave no time in which it is sure
 	// what gateways could know.
 	calm bool
+	// away plays have the store answer some gateways and others not.
+	away bool
 }
 
 // binary builds the program once for all tests.
@@ -98,7 +100,7 @@
 	}
 	result, err := soak.Run(context.Background(), soak.Options{
 		Binary: program, Dir: dir, Seed: seed, Gateways: boxes, Faults: faults, Span: span, Ends: x.ends, Words: x.words, Drills: x.drills,
-		Limits: x.limits, Series: x.series, Readers: readers, Say: func(line string) { told = append(told, line) },
+		Limits: x.limits, Series: x.series, Away: x.away, Readers: readers, Say: func(line string) { told = append(told, line) },
 	})
 	if err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
@@ -129,7 +131,7 @@
 // number of seeds to play longer instead, from GRANITEKNOT_SOAK_SEED on, or GRANITEKNOT_SOAK_ONLY of these; each second one
 // with a request that ends replicas and odd records, two in three with replicas that ask for rest
 // or say that they leave, half with drills of the store, half of these with few faults beside, two in five with
-// limits, and one in three with versions in series.
+// limits, one in three with versions in series, and half of these with a store that turns some gateways away.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the processes are not built with the race detector")
@@ -142,7 +144,7 @@
 			if chosen && only != strconv.FormatUint(first+i, 10) {
 				continue
 			}
-			play(t, program, 14, 20*time.Second, story{seed: first + i, ends: i%2 == 1, words: i%3 != 0, drills: i%4 >= 2, limits: i%5 < 2, calm: i%4 == 2, series: i%3 == 1})
+			play(t, program, 14, 20*time.Second, story{seed: first + i, ends: i%2 == 1, words: i%3 != 0, drills: i%4 >= 2, limits: i%5 < 2, calm: i%4 == 2, series: i%3 == 1, away: i%6 == 1})
 		}
 		return
 	}
