--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -46,6 +46,7 @@
 		}
 	}
 	out = append(out, checkWords(w, calls)...)
+	out = append(out, checkGoneBack(calls)...)
 	out = append(out, checkLimits(w, calls)...)
 	return append(out, checkDeadly(ran)...)
 }
--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -97,3 +97,30 @@
 	}
 	return []Finding{{"changes come into force", c.id, fmt.Sprintf("%s did not know a key %v after its version was written", c.gateway.box, late)}}
 }
+
+// used is a key at a gateway.
+type used struct {
+	key     *key
+	gateway *process
+}
+
+// checkGoneBack finds gateways that did not know a key with which they had answered before, in
+// the same life of the process.
+func checkGoneBack(calls []*call) []Finding {
+	first := map[used]time.Time{}
+	for _, c := range calls {
+		at := used{c.key, c.gateway}
+		if before, ok := first[at]; c.status == http.StatusOK && (!ok || c.ended.Before(before)) {
+			first[at] = c.ended
+		}
+	}
+	var out []Finding
+	for _, c := range calls {
+		knew, ok := first[used{c.key, c.gateway}]
+		if !ok || c.status != http.StatusUnauthorized || !c.key.removed.IsZero() || !c.sent.After(knew) || c.gateway.restarted(knew, c.ended) {
+			continue
+		}
+		out = append(out, Finding{"versions do not go back", c.id, fmt.Sprintf("%s did not know a key %v after it had answered with it", c.gateway.box, c.sent.Sub(knew))})
+	}
+	return out
+}
