A proof that goes from gateway to gateway is no newer than the last read: a test

The gateway's tests did not notice code that takes a reader's proof as old as the question (asked in place of asked less the age told): two that stand by then prove each other for good. The rule held; now TestNoProofIsNewerThanTheLastRead fails without it (a proof of 4 ms, 1.7 s after the store went silent). Two mutations more.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -225,6 +225,15 @@
 		Old: "\t\t\tclose(h.regained)\n", New: "",
 		Package: "internal/core/watch", Test: "TestLongReadsBeginAnewAfterALoss", Says: "not seen",
 	},
+	{
+		Name: "the age of a proof is not counted over a hop", File: "internal/core/gateway/revalidate.go",
+		Old: "at := asked.Add(-told.Age)", New: "at := asked",
+		Package: "internal/core/gateway", Test: "TestNoProofIsNewerThanTheLastRead", Says: "after the store went silent",
+	},
+	{
+		Name: "a version is taken back", File: "catalog/holder.go",
+		Old: "t.Version < h.tree.Version", New: "false", Package: "catalog", Test: "TestHolder", Says: "an older version was taken",
+	},
 	{
 		Name: "a read that is overdue is no loss", File: "internal/core/watch/overdue.go",
 		Old: "x.failed || !x.due.IsZero() && now.After(x.due)", New: "x.failed",
