--- a/tools/landing.py
+++ b/tools/landing.py
@@ -10,6 +10,7 @@
 """
 import argparse
 import concurrent.futures
+import itertools
 import os
 import re
 import subprocess
@@ -93,6 +94,15 @@
         stop.set()
 
 
+def run_all(o, runs):
+    """Larger deployments one at a time: four days of one are 400 processes and more."""
+    stop = threading.Event()
+    for alone, together in itertools.groupby(runs, key=lambda x: x[2]):
+        with concurrent.futures.ThreadPoolExecutor(1 if alone else o.lanes) as lanes:
+            for kind, site, large in together:
+                lanes.submit(run, o, stop, kind, site, large)
+
+
 def report(o):
     for kind, site, _ in plan():
         got = DONE[kind].findall(text(o, kind, site))
@@ -104,7 +114,7 @@
     p.add_argument("--bench", help="the users' program that plays days")
     p.add_argument("--kit", help="the folder that the sites' files are below")
     p.add_argument("--out", required=True)
-    p.add_argument("--lanes", type=int, default=2, help="runs at a time")
+    p.add_argument("--lanes", type=int, default=2, help="runs of small deployments at a time")
     p.add_argument("--jobs", type=int, default=3, help="days played at a time by each")
     p.add_argument("--only", help="a kind of run")
     p.add_argument("--list", action="store_true", help="only say what is there and what is missing")
@@ -113,11 +123,7 @@
     if not o.list:
         if not o.bench or not o.kit:
             p.error("--bench and --kit are needed to run")
-        stop = threading.Event()
-        with concurrent.futures.ThreadPoolExecutor(o.lanes) as lanes:
-            for kind, site, large in plan():
-                if o.only in (None, kind):
-                    lanes.submit(run, o, stop, kind, site, large)
+        run_all(o, [x for x in plan() if o.only in (None, x[0])])
     report(o)
     missing = [name(k, s) for k, s, _ in plan() if state(o, k, s) != "done"]
     if missing:
