A test waits until all gateways have read what the drill then takes away

Traced: where a gateway has not read the record before the drill, it writes it after the drill as one that the store never had, which needs no renewal. The test asks no less than before.

--- a/internal/core/gateway/drill_test.go
+++ b/internal/core/gateway/drill_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,44 @@
 	t    *testing.T
 	copy *keyed.Copy
 	all  []*box
+	// reads are the stores as those that were started read them.
+	reads []*readTo
+}
+
+// readTo is a store that notes from where on a gateway reads the quarantine: it has taken
+// what stands before.
+type readTo struct {
+	graniteknot.KeyedStore
+
+	at atomic.Int64
+}
+
+// Read implements graniteknot.KeyedStore.
+func (s *readTo) Read(ctx context.Context, t graniteknot.Topic, from graniteknot.Position, wait time.Duration) (graniteknot.KeyedPage, error) {
+	if t == graniteknot.TopicQuarantine {
+		s.at.Store(int64(from))
+	}
+	return s.KeyedStore.Read(ctx, t, from, wait)
+}
+
+// start starts a gateway.
+func (d *drilled) start() *box {
+	way := &readTo{KeyedStore: d.store}
+	d.reads = append(d.reads, way)
+	b := start(d.t, way, nil)
+	d.t.Cleanup(b.stop)
+	return b
+}
+
+// allRead waits until all gateways have taken the records of the quarantine.
+func (d *drilled) allRead() {
+	page, err := d.store.Newest(d.t.Context(), graniteknot.TopicQuarantine)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for _, way := range d.reads {
+		eventually(d.t, "the records are read", func() bool { return way.at.Load() >= int64(page.End) })
+	}
 }
 
 // keyAge is for how long a key is trusted without proof.
@@ -39,9 +79,7 @@
 	d.put()
 	d.replica(newReplica(t, "i-0"), false)
 	for range gateways {
-		b := start(t, d.store, nil)
-		t.Cleanup(b.stop)
-		d.all = append(d.all, b)
+		d.all = append(d.all, d.start())
 	}
 	for _, b := range d.all {
 		eventually(t, "serves", func() bool { return b.ask("/repeat/x", "k1").status == http.StatusOK })
@@ -133,14 +171,14 @@
 func TestOwnRecordsAreWrittenAgain(t *testing.T) {
 	t.Parallel()
 	d := newDrilled(t, 2)
-	late := start(t, d.store, nil)
-	t.Cleanup(late.stop)
+	late := d.start()
 	eventually(t, "the late one is known", func() bool { return len(d.all[0].listed()) == 3 })
 	key := quarantine.KeyOf("/repeat/x", "desk", []byte("ends replicas"))
 	for life := range 2 {
 		d.all[0].Quarantine.Ended(key, catalog.Mark(life+1), d.all[0].Clock.Now())
 	}
 	eventually(t, "the request has a record", func() bool { return d.has(graniteknot.TopicQuarantine, key.String()) })
+	d.allRead()
 	d.all = append(d.all, late)
 	d.drill()
 	if d.has(graniteknot.TopicMembers, string(late.Config.Box)) && d.has(graniteknot.TopicQuarantine, key.String()) {
