An order's wait ends once the target checks fences

What operators saw: after a version was published for a shared pool, an engine was given it 31 s later (TestVersionIsOrdered, 20 s, under the race detector on a busy machine).

Cause: whether the target checks fences was asked once, before the wait for a former agent's orders (30 s and 1 s of skew). Two accounts share the target, and it counts as checking when the services of both say so; an agent that looked between their two publications slept through the second one. Ruled out: processor time (3.7 s beside 16 busy processes).

The wait looks each 100 ms. TestWaitEndsOnceTheTargetChecksFences fails before with 31 s.

--- a/internal/core/orders/doc.go
+++ b/internal/core/orders/doc.go
@@ -24,3 +24,6 @@
 
 // drainPoll is how often the queue is asked whether it is empty.
 const drainPoll = 10 * time.Millisecond
+
+// checksPoll is how often a wait looks whether the target checks fences by now.
+const checksPoll = 100 * time.Millisecond
--- a/internal/core/orders/giver.go
+++ b/internal/core/orders/giver.go
@@ -70,21 +70,28 @@
 
 // outliveFormer waits until nothing of a former agent can arrive any more.
 func (g *Giver) outliveFormer(ctx context.Context) error {
-	if g.NoWait || g.Checks != nil && g.Checks() {
-		return nil
-	}
 	birth := time.UnixMicro(int64(g.Incarnation))
-	return sleep(ctx, time.Until(birth.Add(Life+skew)))
+	return g.outlive(ctx, birth.Add(Life+skew))
 }
 
 // outliveLate waits until an order of another content that failed can't arrive
 // any more; one of the same content does no harm.
 func (g *Giver) outliveLate(ctx context.Context, kind graniteknot.OrderKind, name string) error {
 	same := g.late.Kind == kind && g.late.Name == name
-	if same || g.NoWait || g.Checks != nil && g.Checks() {
+	if same {
 		return nil
 	}
-	return sleep(ctx, time.Until(g.lateUntil))
+	return g.outlive(ctx, g.lateUntil)
+}
+
+// outlive waits until a time, or until the target checks fences, which may come into force meanwhile.
+func (g *Giver) outlive(ctx context.Context, until time.Time) error {
+	for !g.NoWait && (g.Checks == nil || !g.Checks()) && time.Now().Before(until) {
+		if err := sleep(ctx, min(checksPoll, time.Until(until))); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // drained waits until the target runs nothing.
--- a/internal/core/orders/giver_test.go
+++ b/internal/core/orders/giver_test.go
@@ -167,3 +167,22 @@
 		})
 	}
 }
+
+// TestWaitEndsOnceTheTargetChecksFences has settings come into force, while an order waits out a former
+// agent, by which the target checks fences.
+func TestWaitEndsOnceTheTargetChecksFences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &slowTarget{checks: true}
+		began := time.Now()
+		g := &orders.Giver{
+			Target: target, Queue: target, Incarnation: graniteknot.NewIncarnation(began),
+			Checks: func() bool { return time.Since(began) > time.Second },
+		}
+		if err := g.Want(context.Background(), graniteknot.OrderLoad, "v2"); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("the order was given after %v", took)
+		}
+	})
+}
