--- a/internal/core/gateway/hello.go
+++ b/internal/core/gateway/hello.go
@@ -168,7 +168,7 @@
 	if g.Members.Heard(m, now) {
 		g.greetLimits(m.Self)
 	}
-	g.toldVersion(told{catalog.Version(m.Settings), m.Box, true}, now)
+	g.noteVersion(versionNotice{catalog.Version(m.Settings), m.Box, true}, now)
 	g.heardOfReaders()
 	g.bundler.Take(m, now)
 	if m.Self != nil {
@@ -182,8 +182,8 @@
 // told takes what a relay passes on.
 func (g *Gateway) told(m *presence.Message, now time.Time) {
 	g.Members.Told(m, now)
-	g.toldVersion(told{catalog.Version(m.Settings), m.Box, true}, now)
-	g.toldVersion(told{catalog.Version(m.Bundle.Settings), m.Box, false}, now)
+	g.noteVersion(versionNotice{catalog.Version(m.Settings), m.Box, true}, now)
+	g.noteVersion(versionNotice{catalog.Version(m.Bundle.Settings), m.Box, false}, now)
 	g.heardOfReaders()
 	for i := range m.Bundle.Reports {
 		r := &m.Bundle.Reports[i]
--- a/internal/core/gateway/lag_size_test.go
+++ b/internal/core/gateway/lag_size_test.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// sizesToPlay are the numbers of gateways that lags are measured at: those of
-// GRANITEKNOT_GATEWAYS, parted by commas, or two.
+// sizesToPlay returns the numbers of gateways to measure with, as GRANITEKNOT_GATEWAYS lists them.
 func sizesToPlay(t *testing.T) []int {
 	t.Helper()
 	words := os.Getenv("GRANITEKNOT_GATEWAYS")
--- a/internal/core/gateway/newer.go
+++ b/internal/core/gateway/newer.go
@@ -40,8 +40,8 @@
 	since time.Time
 }
 
-// told is that a gateway knows of a version; itself tells that it has it.
-type told struct {
+// versionNotice is that a gateway knows of a version; itself tells that it has it.
+type versionNotice struct {
 	version catalog.Version
 	by      graniteknot.BoxName
 	itself  bool
@@ -49,7 +49,7 @@
 
 // note takes in what was told. It returns whether that is news, and whether this gateway,
 // which has the version own, falls behind with it.
-func (n *newer) note(t told, own catalog.Version, now time.Time) (news, behind bool) {
+func (n *newer) note(t versionNotice, own catalog.Version, now time.Time) (news, behind bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if t.itself && t.version > n.held {
@@ -99,8 +99,8 @@
 	return now.Sub(n.since), true
 }
 
-// toldVersion takes in that another gateway knows of a version, and has it taken.
-func (g *Gateway) toldVersion(t told, now time.Time) {
+// noteVersion takes in that another gateway knows of a version, and has it taken.
+func (g *Gateway) noteVersion(t versionNotice, now time.Time) {
 	if t.version == 0 {
 		return
 	}
--- a/internal/core/gateway/young_test.go
+++ b/internal/core/gateway/young_test.go
@@ -43,9 +43,9 @@
 	return s.KeyedStore.Newest(ctx, t)
 }
 
-// TestYoungGatewayHoldsUntilItKnowsReplicas sends requests to a gateway that has read its
+// TestStartingGatewayHoldsUntilItKnowsReplicas sends requests to a gateway that has read its
 // configuration and not yet the replicas' records, and to one that has neither.
-func TestYoungGatewayHoldsUntilItKnowsReplicas(t *testing.T) {
+func TestStartingGatewayHoldsUntilItKnowsReplicas(t *testing.T) {
 	for _, late := range []graniteknot.Topic{graniteknot.TopicReplicas, graniteknot.TopicSettings} {
 		d := &deployment{store: &keyed.Store{}, keys: []string{"k1"}}
 		d.replica(newReplica(t, "i-1"), false)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,8 +29,7 @@
 	// Gateways that had started did not know each other for 20 s, and each dealt out a limit by
 	// itself: their reads of the members hung since an outage.
 	{seed: 11005, ends: true, words: true, limits: true},
-	// A replica that had asked for rest got 26 requests: a copy's record of its former life
-	// counted as a heartbeat, so the next one did not have that word: four of four plays.
+	// A copy's record of a former life counted as a heartbeat, so the next life was asked in its rest.
 	{seed: 12019, ends: true, words: true, drills: true, series: true},
 }
 
