--- a/claim/request.go
+++ b/claim/request.go
@@ -36,12 +36,12 @@
 	// Repeatable requests may start without the rules of birth and age; to be
 	// told that one never ran takes them all the same.
 	Repeatable bool
-	// Body is a digest of the body, so that one key can't stand for two
+	// BodyDigest is a digest of the body, so that one key can't stand for two
 	// requests.
-	Body uint64
-	// Until is when the request's deadline passes. Copies of the message that
+	BodyDigest uint64
+	// Deadline is when the request's deadline passes. Copies of the message that
 	// come after it are not taken.
-	Until time.Time
+	Deadline time.Time
 }
 
 // Verdict is an authority's answer.
--- a/claim/table.go
+++ b/claim/table.go
@@ -9,10 +9,10 @@
 
 // The values in force where a Table's fields are zero.
 const (
-	DefaultWindow = 10 * time.Minute
-	DefaultFuture = 2 * time.Second
-	DefaultSkew   = time.Second
-	DefaultLimit  = 200_000
+	DefaultWindow       = 10 * time.Minute
+	DefaultMaxKeyAhead  = 2 * time.Second
+	DefaultMaxClockSkew = time.Second
+	DefaultMaxRecords   = 200_000
 )
 
 // tombstoneReserve is the part of the limit, as a divisor, that is kept free
@@ -48,12 +48,12 @@
 	Incarnation graniteknot.Incarnation
 	// Window is how long a key is remembered after it was first seen.
 	Window time.Duration
-	// Future bounds how far a key's time may lie ahead of this clock.
-	Future time.Duration
-	// Skew bounds how far the clocks of two boxes differ.
-	Skew time.Duration
-	// Limit bounds the records; a quarter more may be tombstones.
-	Limit int
+	// MaxKeyAhead bounds how far a key's time may lie ahead of this clock.
+	MaxKeyAhead time.Duration
+	// MaxClockSkew bounds how far the clocks of two boxes differ.
+	MaxClockSkew time.Duration
+	// MaxRecords bounds the records; a quarter more may be tombstones.
+	MaxRecords int
 
 	mu sync.Mutex
 	// records never holds more than Limit and a quarter.
@@ -76,7 +76,7 @@
 
 func (t *Table) admit(now time.Time, r Request) Verdict {
 	old, seen := t.records[r.ID]
-	if seen && old.body != r.Body {
+	if seen && old.body != r.BodyDigest {
 		return VerdictMismatch
 	}
 	later := old.phase == phaseTombstone && r.Try > old.try
@@ -90,13 +90,13 @@
 		t.stats.Full++
 		return t.bury(now, r)
 	}
-	t.put(now, r, record{phase: phaseQueued, try: r.Try, body: r.Body})
+	t.put(now, r, record{phase: phaseQueued, try: r.Try, body: r.BodyDigest})
 	return VerdictStart
 }
 
 // rules decides on a request of which nothing is remembered.
 func (t *Table) rules(now time.Time, r Request) Verdict {
-	if !r.Until.IsZero() && now.After(r.Until.Add(t.skew())) {
+	if !r.Deadline.IsZero() && now.After(r.Deadline.Add(t.skew())) {
 		return VerdictMaybe
 	}
 	if r.Incarnation != 0 && r.Incarnation != t.Incarnation {
@@ -199,7 +199,7 @@
 	if !seen && len(t.records) >= t.limit()+t.limit()/tombstoneReserve {
 		return VerdictMaybe
 	}
-	t.put(now, r, record{phase: phaseTombstone, try: max(old.try, r.Try), body: r.Body})
+	t.put(now, r, record{phase: phaseTombstone, try: max(old.try, r.Try), body: r.BodyDigest})
 	return VerdictNever
 }
 
@@ -218,9 +218,9 @@
 // and the deadline.
 func (t *Table) forgetTime(now time.Time, r Request) time.Time {
 	if r.Repeatable {
-		return latest(now, r.Until).Add(2 * t.skew())
+		return latest(now, r.Deadline).Add(2 * t.skew())
 	}
-	return latest(latest(now, r.Until), r.KeyTime).Add(t.window() + 2*t.skew())
+	return latest(latest(now, r.Deadline), r.KeyTime).Add(t.window() + 2*t.skew())
 }
 
 func latest(a, b time.Time) time.Time {
@@ -266,14 +266,14 @@
 }
 
 func (t *Table) window() time.Duration { return orDefault(t.Window, DefaultWindow) }
-func (t *Table) future() time.Duration { return orDefault(t.Future, DefaultFuture) }
-func (t *Table) skew() time.Duration   { return orDefault(t.Skew, DefaultSkew) }
+func (t *Table) future() time.Duration { return orDefault(t.MaxKeyAhead, DefaultMaxKeyAhead) }
+func (t *Table) skew() time.Duration   { return orDefault(t.MaxClockSkew, DefaultMaxClockSkew) }
 
 func (t *Table) limit() int {
-	if t.Limit > 0 {
-		return t.Limit
+	if t.MaxRecords > 0 {
+		return t.MaxRecords
 	}
-	return DefaultLimit
+	return DefaultMaxRecords
 }
 
 func orDefault(d, fallback time.Duration) time.Duration {
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -39,7 +39,7 @@
 		{"timed key from far ahead", after(time.Second), claim.Request{KeyTime: after(time.Minute)}, claim.VerdictMaybe},
 		{"plain key at a young agent", after(time.Minute), claim.Request{}, claim.VerdictMaybe},
 		{"plain key at an old agent", after(11 * time.Minute), claim.Request{}, claim.VerdictStart},
-		{"late copy", after(time.Minute), claim.Request{Repeatable: true, Until: after(50 * time.Second)}, claim.VerdictMaybe},
+		{"late copy", after(time.Minute), claim.Request{Repeatable: true, Deadline: after(50 * time.Second)}, claim.VerdictMaybe},
 		{"repeatable", after(time.Second), claim.Request{Repeatable: true}, claim.VerdictStart},
 		{"repeatable meant for a former life", after(time.Second), claim.Request{Repeatable: true, Incarnation: other}, claim.VerdictMaybe},
 	}
@@ -92,9 +92,9 @@
 
 func TestOneKeyStandsForOneBody(t *testing.T) {
 	table := newTable()
-	r := claim.Request{ID: id("k"), Incarnation: table.Incarnation, KeyTime: after(0), Body: 1}
+	r := claim.Request{ID: id("k"), Incarnation: table.Incarnation, KeyTime: after(0), BodyDigest: 1}
 	table.Admit(after(time.Second), r)
-	r.Body = 2
+	r.BodyDigest = 2
 	if got := table.Admit(after(time.Second), r); got != claim.VerdictMismatch {
 		t.Errorf("got %s", got)
 	}
@@ -103,7 +103,7 @@
 // TestFullTableRefusesAndNeverForgets fills a table past its limit.
 func TestFullTableRefusesAndNeverForgets(t *testing.T) {
 	table := newTable()
-	table.Limit = 8
+	table.MaxRecords = 8
 	verdicts := map[claim.Verdict]int{}
 	request := func(i int) claim.Request {
 		return claim.Request{ID: id(fmt.Sprint(i)), Incarnation: table.Incarnation, KeyTime: after(0)}
@@ -209,7 +209,7 @@
 
 func BenchmarkClaim(b *testing.B) {
 	table := newTable()
-	table.Limit = 1 << 30
+	table.MaxRecords = 1 << 30
 	now := after(time.Second)
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
@@ -230,7 +230,7 @@
 		r    claim.Request
 		last time.Time
 	}{
-		"deadline beyond the window": {claim.Request{Until: old.Add(40 * time.Minute)}, old.Add(40 * time.Minute)},
+		"deadline beyond the window": {claim.Request{Deadline: old.Add(40 * time.Minute)}, old.Add(40 * time.Minute)},
 		"key from ahead of the clock": {
 			claim.Request{KeyTime: old.Add(29 * time.Second)}, old.Add(claim.DefaultWindow + 28*time.Second),
 		},
@@ -238,7 +238,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			table := newTable()
-			table.Skew, table.Future = time.Millisecond, 30*time.Second
+			table.MaxClockSkew, table.MaxKeyAhead = time.Millisecond, 30*time.Second
 			c.r.ID = id("k")
 			if got := table.Admit(old, c.r); got != claim.VerdictStart {
 				t.Fatalf("first: %s", got)
--- a/cmd/graniteknot/cmd/session_test.go
+++ b/cmd/graniteknot/cmd/session_test.go
@@ -165,8 +165,8 @@
 		return s.prefix
 	}
 	p := s.cluster.Partners[0]
-	caller := &load.Caller{Entries: []graniteknot.Address{s.entry(0).Config.Listen}, Key: p.Keys[0], HTTP: http.DefaultClient}
-	key, err := caller.NewKey(context.Background(), p.PlainOf)
+	caller := &load.Caller{EntryAddresses: []graniteknot.Address{s.entry(0).Config.Listen}, Key: p.Keys[0], HTTP: http.DefaultClient}
+	key, err := caller.NewIdempotencyKey(context.Background(), p.PlainOf)
 	ts.Check(err)
 	s.prefix, _, _ = strings.Cut(key, ".")
 	s.prefix += "."
--- a/cmd/graniteknot/cmd/settings.go
+++ b/cmd/graniteknot/cmd/settings.go
@@ -37,8 +37,8 @@
 	return f
 }
 
-func (f *logFlags) parse() (*fold.Trust, error) {
-	trust := &fold.Trust{}
+func (f *logFlags) parse() (*fold.TrustStore, error) {
+	trust := &fold.TrustStore{}
 	for partner, text := range f.trust {
 		key, err := hex.DecodeString(text)
 		if err != nil || len(key) != ed25519.PublicKeySize {
--- a/cmd/graniteknot/cmd/settings_publish.go
+++ b/cmd/graniteknot/cmd/settings_publish.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	change := &wire.Change{Id: f.id, Branch: f.branch, Against: f.against, Text: string(text)}
 	answer, err := publisher.Publish(ctx, change)
-	if e := tellFate(o, f.id, answer, err); e != nil || f.wait == "" || answer.Fate != fold.FateAccepted {
+	if e := tellFate(o, f.id, answer, err); e != nil || f.wait == "" || answer.Fate != fold.StatusAccepted {
 		return e
 	}
 	return waitForce(ctx, o, graniteknot.Address(f.wait), answer.Offset)
@@ -95,13 +95,13 @@
 // tellFate prints what became of a change.
 func tellFate(o console, id string, a publish.Answer, err error) error {
 	switch a.Fate {
-	case fold.FateAccepted:
+	case fold.StatusAccepted:
 		_, _ = fmt.Fprintf(o.out, "accepted at offset %d, id %s\n", a.Offset, id)
-	case fold.FatePending:
+	case fold.StatusPending:
 		_, _ = fmt.Fprintf(o.out, "pending at offset %d, id %s: %s\n", a.Offset, id, a.Reason)
-	case fold.FateRefused:
+	case fold.StatusRefused:
 		return &exitError{code: exitRefused, err: fmt.Errorf("refused at offset %d, id %s, because: %s", a.Offset, id, a.Reason)}
-	case fold.FateNone:
+	case fold.StatusNone:
 		reason := a.Reason
 		if err != nil {
 			reason += ": " + err.Error()
--- a/cmd/graniteknot/cmd/settings_show.go
+++ b/cmd/graniteknot/cmd/settings_show.go
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	log := services.NewLog(graniteknot.Address(f.log))
-	state := fold.New(trust)
+	state := fold.NewState(trust)
 	for {
 		page, err := log.Read(ctx, graniteknot.SettingsStream, state.Offset()+1, batch)
 		if err != nil {
@@ -150,7 +150,7 @@
 	flags := addLogFlags(c)
 	commands[c.FullCommand()] = func(ctx context.Context, o console) error {
 		_, err := foldLog(ctx, flags, func(_ *fold.State, v fold.Verdict) bool {
-			if v.Fate != fold.FateNone {
+			if v.Status != fold.StatusNone {
 				_, _ = fmt.Fprintln(o.out, historyLine(v))
 			}
 			return true
@@ -160,7 +160,7 @@
 }
 
 func historyLine(v fold.Verdict) string {
-	line := fmt.Sprintf("%d %s branch=%s by=%s id=%s", v.Offset, v.Fate, v.Branch, v.Signer, v.ID)
+	line := fmt.Sprintf("%d %s branch=%s by=%s id=%s", v.Offset, v.Status, v.Branch, v.Signer, v.ID)
 	if v.Err != nil {
 		line += " because " + strings.ReplaceAll(v.Err.Error(), "\n", "; ")
 	}
--- a/expertmap/example_test.go
+++ b/expertmap/example_test.go
@@ -8,13 +8,13 @@
 
 // A group of one rank is formed and switches to the second map.
 func Example() {
-	keeper := expertmap.Keeper{Incarnation: 1, Ranks: 1, First: 1}
+	keeper := expertmap.Coordinator{Incarnation: 1, Ranks: 1, InitialVersion: 1}
 	rank := expertmap.Rank{}
 	exchange := func(messages []expertmap.Message) {
 		for len(messages) > 0 {
 			answer, ok, load := rank.Handle(messages[0])
 			if load != 0 {
-				rank.Loaded(load)
+				rank.MarkLoaded(load)
 				answer, ok, _ = rank.Handle(messages[0])
 			}
 			messages = messages[1:]
@@ -27,7 +27,7 @@
 	messages, err := keeper.Switch(2)
 	exchange(messages)
 	for range 3 {
-		version, ok := rank.Begin()
+		version, ok := rank.BeginStep()
 		fmt.Println(version, ok)
 	}
 	fmt.Println(keeper.Phase(), err)
--- a/expertmap/explore_test.go
+++ b/expertmap/explore_test.go
@@ -11,7 +11,7 @@
 // still arrive, any number of times, in any order, or never. So loss, delay,
 // doubling and reordering are all in the choice of what arrives next.
 type world struct {
-	keeper expertmap.Keeper
+	keeper expertmap.Coordinator
 	ranks  [3]expertmap.Rank
 	// sent is a set of numbers of the explorer's messages, a bit for each.
 	sent [maxSent / 64]uint64
@@ -59,7 +59,7 @@
 // newWorld is a formed group in which every rank begins step 1 with the old
 // map.
 func newWorld() world {
-	w := world{keeper: expertmap.Keeper{Incarnation: 1, Ranks: 3, First: oldMap, Lead: 1}, lives: 1}
+	w := world{keeper: expertmap.Coordinator{Incarnation: 1, Ranks: 3, InitialVersion: oldMap, Lead: 1}, lives: 1}
 	for i := range w.ranks {
 		w.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i)}
 	}
@@ -70,7 +70,7 @@
 		r := &w.ranks[m.Rank]
 		answer, ok, load := r.Handle(m)
 		if load != 0 {
-			r.Loaded(load)
+			r.MarkLoaded(load)
 			answer, ok, _ = r.Handle(m)
 		}
 		if ok {
@@ -99,7 +99,7 @@
 	}
 	if w.switched {
 		c := *w
-		e.send(&c, c.keeper.GiveUp())
+		e.send(&c, c.keeper.Abort())
 		if c != *w {
 			e.push(&c)
 		}
@@ -120,11 +120,11 @@
 		c.lost = true
 		c.lives++
 		if e.rankDies {
-			c.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i), Born: graniteknot.Incarnation(c.lives)}
+			c.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i), Incarnation: graniteknot.Incarnation(c.lives)}
 			c.lives++
-			e.send(&c, c.keeper.Adopt(graniteknot.Incarnation(c.lives)))
+			e.send(&c, c.keeper.Restart(graniteknot.Incarnation(c.lives)))
 		} else {
-			c.keeper = expertmap.Keeper{Incarnation: graniteknot.Incarnation(c.lives), Ranks: 3, First: oldMap, Lead: 1}
+			c.keeper = expertmap.Coordinator{Incarnation: graniteknot.Incarnation(c.lives), Ranks: 3, InitialVersion: oldMap, Lead: 1}
 			e.send(&c, c.keeper.Tick())
 		}
 		e.push(&c)
@@ -133,17 +133,17 @@
 
 func (e *explorer) begin(w *world, i int) {
 	state := w.ranks[i].State()
-	if state.Next >= maxStep {
+	if state.NextStep >= maxStep {
 		return
 	}
 	c := *w
-	version, ok := c.ranks[i].Begin()
+	version, ok := c.ranks[i].BeginStep()
 	if !ok {
 		return
 	}
-	ran := &c.ran[state.Group][state.Next]
+	ran := &c.ran[state.Epoch][state.NextStep]
 	if *ran != 0 && *ran != uint8(version) {
-		e.broken = fmt.Sprintf("step %d of formation %d ran with maps %d and %d", state.Next, state.Group, *ran, version)
+		e.broken = fmt.Sprintf("step %d of formation %d ran with maps %d and %d", state.NextStep, state.Epoch, *ran, version)
 	}
 	*ran = uint8(version)
 	e.push(&c)
@@ -156,7 +156,7 @@
 	r := &c.ranks[m.Rank]
 	answer, ok, load := r.Handle(m)
 	if load != 0 {
-		r.Loaded(load)
+		r.MarkLoaded(load)
 		answer, ok, _ = r.Handle(m)
 	}
 	if c != *w {
@@ -175,7 +175,7 @@
 // dead tells whether a command can't have an effect any more, since its rank
 // no longer listens to its keeper. Leaving these out keeps the states few.
 func (e *explorer) dead(w *world, m expertmap.Message) bool {
-	return m.Keeper < w.ranks[m.Rank].Follows() && !e.all
+	return m.Coordinator < w.ranks[m.Rank].Coordinator() && !e.all
 }
 
 func (e *explorer) push(w *world) {
--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -7,8 +7,8 @@
 
 // The phases.
 const (
-	// PhaseClosed groups are not whole, or do not run.
-	PhaseClosed Phase = iota
+	// PhaseUnavailable groups are not whole, or do not run.
+	PhaseUnavailable Phase = iota
 	// PhaseIdle groups run one map and have nothing to do.
 	PhaseIdle
 	// PhasePreparing waits until all ranks have loaded the map.
@@ -32,68 +32,68 @@
 type Decision struct {
 	Phase  Phase
 	Orders []Order
-	// Freed, if it is not Never, is a held step that the orders let begin
+	// ReleasedStep, if it is not Never, is a held step that the orders let begin
 	// although no rank is armed for it.
-	Freed graniteknot.Step
+	ReleasedStep graniteknot.Step
 }
 
-// Wish is what the keeper would like.
-type Wish struct {
-	// Version is the map to switch to; 0 for none.
-	Version Version
-	// Own is the keeper's own rank. It is armed last, so that while another one is
+// CoordinatorState is what the keeper would like.
+type CoordinatorState struct {
+	// NewVersion is the map to switch to; 0 for none.
+	NewVersion Version
+	// OwnRank is the keeper's own rank. It is armed last, so that while another one is
 	// not armed everybody knows that it is not either.
-	Own graniteknot.Rank
-	// Home is the rank that holds, and Lead how many steps ahead. It is not the
+	OwnRank graniteknot.Rank
+	// HoldRank is the rank that holds, and Lead how many steps ahead. It is not the
 	// keeper's own where the group has others: if the keeper's box stops, another
 	// keeper can still reach what it held.
-	Home graniteknot.Rank
-	Lead graniteknot.Step
-	// Hold is the step that the keeper asked to hold and has not seen passed;
+	HoldRank graniteknot.Rank
+	Lead     graniteknot.Step
+	// HoldStep is the step that the keeper asked to hold and has not seen passed;
 	// Never for none. The same step is asked for until then, since the order may
 	// be carried out late.
-	Hold graniteknot.Step
-	// ArmAt is the step that the keeper has sent the first arm for and has not
+	HoldStep graniteknot.Step
+	// ArmStep is the step that the keeper has sent the first arm for and has not
 	// seen passed; Never for none. It does not change until then, so that all
 	// ranks are armed for the same step.
-	ArmAt graniteknot.Step
-	// Freed is the step that the keeper has let begin without arming and has not
+	ArmStep graniteknot.Step
+	// ReleasedStep is the step that the keeper has let begin without arming and has not
 	// seen begun; Never for none. Until then nothing is armed, since the order to
 	// go may be carried out late, before all ranks are armed.
-	Freed graniteknot.Step
+	ReleasedStep graniteknot.Step
 }
 
 // Decide returns the orders that all ranks' states ask for. The states must have
 // been read under the keeper's fence.
-func Decide(states []State, w Wish) Decision {
+func Decide(states []State, w CoordinatorState) Decision {
 	g, whole := sum(states)
 	if !whole {
 		return Decision{}
 	}
 	switch {
 	case g.armed != 0:
-		return g.rollForward(states, g.armed, g.armedAt, w.Own)
-	case w.Freed > g.step:
-		return Decision{Phase: PhaseReleasing, Orders: g.release(states), Freed: w.Freed}
+		return g.rollForward(states, g.armed, g.armedAt, w.OwnRank)
+	case w.ReleasedStep > g.step:
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states), ReleasedStep: w.ReleasedStep}
 	case g.apart:
 		// The ranks were read while the group passed from one map to the next.
 		return Decision{Phase: PhaseArmed}
-	case g.held != Never && g.prepared != 0:
-		return g.rollForward(states, g.prepared, g.armAt(states, w), w.Own)
-	case g.held != Never:
-		return Decision{Phase: PhaseReleasing, Orders: g.release(states), Freed: g.lastHeld}
-	case g.prepared != 0 && (w.Version == 0 || g.prepared == w.Version):
+	case g.held != NoStep && g.prepared != 0:
+		return g.rollForward(states, g.prepared, g.armAt(states, w), w.OwnRank)
+	case g.held != NoStep:
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states), ReleasedStep: g.lastHeld}
+	case g.prepared != 0 && (w.NewVersion == 0 || g.prepared == w.NewVersion):
 		return g.hold(w)
-	case w.Version != 0:
-		return g.prepare(states, w.Version)
+	case w.NewVersion != 0:
+		return g.prepare(states, w.NewVersion)
 	}
 	return Decision{Phase: PhaseIdle}
 }
 
 // armAt chooses the held step to arm for. Late orders of former keepers may hold
 // other steps too.
-func (g *group) armAt(states []State, w Wish) graniteknot.Step {
-	for _, own := range []graniteknot.Step{w.ArmAt, w.Hold} {
+func (g *group) armAt(states []State, w CoordinatorState) graniteknot.Step {
+	for _, own := range []graniteknot.Step{w.ArmStep, w.HoldStep} {
 		if own > g.step && holds(states, own) {
 			return own
 		}
@@ -111,12 +111,12 @@
 }
 
 // hold asks the home rank to hold a step that has not begun.
-func (g *group) hold(w Wish) Decision {
-	step := w.Hold
+func (g *group) hold(w CoordinatorState) Decision {
+	step := w.HoldStep
 	if step <= g.step {
 		step = g.step + max(w.Lead, 1)
 	}
-	return Decision{Phase: PhaseHolding, Orders: []Order{{Kind: KindHold, Rank: w.Home, Step: step, Epoch: g.epoch}}}
+	return Decision{Phase: PhaseHolding, Orders: []Order{{Kind: KindHold, Rank: w.HoldRank, Step: step, Epoch: g.epoch}}}
 }
 
 func (g *group) prepare(states []State, v Version) Decision {
@@ -135,7 +135,7 @@
 	d := Decision{Phase: PhaseArming}
 	var last []Order
 	for r, s := range states {
-		if s.Armed == v || s.Mapping == v {
+		if s.Armed == v || s.Current == v {
 			continue
 		}
 		o := Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch}
@@ -151,7 +151,7 @@
 	if len(d.Orders) > 0 {
 		return d
 	}
-	if g.held == Never {
+	if g.held == NoStep {
 		return Decision{Phase: PhaseArmed}
 	}
 	return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
@@ -161,8 +161,8 @@
 func (g *group) release(states []State) []Order {
 	var out []Order
 	for r, s := range states {
-		if s.Held != Never {
-			out = append(out, Order{Kind: KindGo, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: g.epoch})
+		if s.Held != NoStep {
+			out = append(out, Order{Kind: KindRelease, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: g.epoch})
 		}
 	}
 	return out
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -27,14 +27,14 @@
 	if len(states) == 0 {
 		return nil, false
 	}
-	g := &group{epoch: states[0].Epoch, mapping: states[0].Mapping, prepared: states[0].Prepared}
+	g := &group{epoch: states[0].Epoch, mapping: states[0].Current, prepared: states[0].Prepared}
 	for _, s := range states {
-		if !s.Open || s.Epoch != g.epoch {
+		if !s.GroupRunning || s.Epoch != g.epoch {
 			return nil, false
 		}
 		g.step = max(g.step, s.Step)
-		g.apart = g.apart || s.Mapping != states[0].Mapping
-		g.mapping = max(g.mapping, s.Mapping)
+		g.apart = g.apart || s.Current != states[0].Current
+		g.mapping = max(g.mapping, s.Current)
 		if s.Prepared != g.prepared {
 			g.prepared = 0
 		}
@@ -42,7 +42,7 @@
 			g.armed, g.armedAt = s.Armed, s.ArmedAt
 		}
 		g.lastHeld = max(g.lastHeld, s.Held)
-		if s.Held != Never && (g.held == Never || s.Held < g.held) {
+		if s.Held != NoStep && (g.held == NoStep || s.Held < g.held) {
 			g.held = s.Held
 		}
 	}
--- a/expertmap/held/keeper_model_test.go
+++ b/expertmap/held/keeper_model_test.go
@@ -55,12 +55,12 @@
 	}
 	var states [searchRanks]held.State
 	states[rank] = w.ranks[rank].state
-	wish := held.Wish{ArmAt: keeper.armAt}
+	wish := held.CoordinatorState{ArmStep: keeper.armAt}
 	if u.noArmed {
-		wish.ArmAt = held.Never
+		wish.ArmStep = held.NoStep
 	}
-	d := held.DecideWithout(states[:], 0, wish)
-	keeper.freed = max(keeper.freed, d.Freed)
+	d := held.DecideWithMissingRank(states[:], 0, wish)
+	keeper.freed = max(keeper.freed, d.ReleasedStep)
 	for _, o := range d.Orders {
 		w.send(1, o)
 	}
@@ -96,19 +96,19 @@
 	keeper := &w.keepers[k]
 	keeper.reading = 0
 	home := graniteknot.Rank((k + 1) % searchRanks)
-	wish := held.Wish{Version: keeper.wish, Own: graniteknot.Rank(k), Home: home, Lead: searchLead, Hold: keeper.hold, ArmAt: keeper.armAt}
+	wish := held.CoordinatorState{NewVersion: keeper.wish, OwnRank: graniteknot.Rank(k), HoldRank: home, Lead: searchLead, HoldStep: keeper.hold, ArmStep: keeper.armAt}
 	if !u.noFreed {
-		wish.Freed = keeper.freed
+		wish.ReleasedStep = keeper.freed
 	}
 	d := held.Decide(keeper.seen[:], wish)
-	keeper.freed = max(keeper.freed, d.Freed)
-	if keeper.wish != 0 && keeper.seen[0].Mapping >= keeper.wish && keeper.seen[1].Mapping >= keeper.wish {
+	keeper.freed = max(keeper.freed, d.ReleasedStep)
+	if keeper.wish != 0 && keeper.seen[0].Current >= keeper.wish && keeper.seen[1].Current >= keeper.wish {
 		keeper.wish = 0
 	}
 	if d.Phase == held.PhaseIdle && keeper.wish == 0 && keeper.maps < w.span.maps {
 		keeper.maps++
 		keeper.wish = held.Version(10*keeper.fence + keeper.maps)
-		keeper.hold, keeper.armAt = held.Never, held.Never
+		keeper.hold, keeper.armAt = held.NoStep, held.NoStep
 		keeper.seen = [searchRanks]held.State{}
 		return w
 	}
@@ -141,8 +141,8 @@
 func goAll(states []held.State) []held.Order {
 	var out []held.Order
 	for r, s := range states {
-		if s.Held != held.Never {
-			out = append(out, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: s.Epoch})
+		if s.Held != held.NoStep {
+			out = append(out, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: s.Epoch})
 		}
 	}
 	return out
--- a/expertmap/held/model_test.go
+++ b/expertmap/held/model_test.go
@@ -87,7 +87,7 @@
 func newWorld(s span) world {
 	w := world{span: s}
 	for r := range w.ranks {
-		w.ranks[r].state = held.State{Epoch: 1, Open: true, Working: true}
+		w.ranks[r].state = held.State{Epoch: 1, GroupRunning: true, HasRequests: true}
 	}
 	w.keepers[0] = keeperModel{alive: true, fence: 1}
 	return w
@@ -96,7 +96,7 @@
 // apart tells whether two ranks run different maps.
 func (w *world) apart() bool {
 	for r := range w.ranks {
-		if w.ranks[r].state.Mapping != w.ranks[0].state.Mapping {
+		if w.ranks[r].state.Current != w.ranks[0].state.Current {
 			return true
 		}
 	}
@@ -142,7 +142,7 @@
 		s := &w.ranks[r].state
 		s.Step = next
 		if s.Armed != 0 && s.ArmedAt == next {
-			s.Mapping, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
+			s.Current, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
 		}
 	}
 	return w, true
@@ -153,7 +153,7 @@
 	w.breaks++
 	for r := range w.ranks {
 		s := w.ranks[r].state
-		w.ranks[r] = rankModel{state: held.State{Epoch: s.Epoch + 1, Open: true, Working: true, Step: s.Step}}
+		w.ranks[r] = rankModel{state: held.State{Epoch: s.Epoch + 1, GroupRunning: true, HasRequests: true, Step: s.Step}}
 	}
 	return w
 }
@@ -180,16 +180,16 @@
 			r.highest, s.Prepared = o.Version, o.Version
 		}
 	case held.KindHold:
-		if o.Step > s.Step && s.Held == held.Never {
+		if o.Step > s.Step && s.Held == held.NoStep {
 			s.Held = o.Step
 		}
 	case held.KindArm:
 		if s.Prepared == o.Version && o.Step > s.Step {
 			s.Armed, s.ArmedAt = o.Version, o.Step
 		}
-	case held.KindGo:
+	case held.KindRelease:
 		if s.Held == o.Step {
-			s.Held = held.Never
+			s.Held = held.NoStep
 		}
 	}
 }
--- a/expertmap/held/rank.go
+++ b/expertmap/held/rank.go
@@ -12,13 +12,13 @@
 
 // Report is what a rank tells of itself.
 type Report struct {
-	// Born is when the rank's life began; 0 where it does not say.
-	Born graniteknot.Born
+	// StartTime is when the rank's life began; 0 where it does not say.
+	StartTime graniteknot.Born
 	// Group is empty for replicas that are no ranks.
-	Group GroupName
-	Rank  graniteknot.Rank
-	Size  int
-	State State
+	Group     GroupName
+	Rank      graniteknot.Rank
+	GroupSize int
+	State     State
 	// Running and Waiting count requests, Tokens what their contexts hold.
 	Running, Waiting int
 	Tokens           graniteknot.Tokens
@@ -44,8 +44,8 @@
 
 // The results.
 const (
-	// ResultLost commands may have been taken, or may be carried out later.
-	ResultLost Result = iota
+	// ResultUnknown commands may have been taken, or may be carried out later.
+	ResultUnknown Result = iota
 	// ResultDone commands are done or have begun.
 	ResultDone
 	// ResultConflict commands did not fit the rank's state.
--- a/expertmap/held/state.go
+++ b/expertmap/held/state.go
@@ -9,26 +9,26 @@
 // Epoch numbers the formations of a group; each forgets all maps.
 type Epoch int64
 
-// Never is the step that no rank holds.
-const Never graniteknot.Step = 0
+// NoStep is the step that no rank holds.
+const NoStep graniteknot.Step = 0
 
 // State is what a rank shows.
 type State struct {
 	Epoch Epoch
-	// Open tells that the group runs.
-	Open bool
+	// GroupRunning tells that the group runs.
+	GroupRunning bool
 	// Step is the last pass that was begun.
 	Step graniteknot.Step
-	// Mapping is the map in force, Prepared the one that is loaded beside it; 0
+	// Current is the map in force, Prepared the one that is loaded beside it; 0
 	// for none.
-	Mapping, Prepared Version
+	Current, Prepared Version
 	// Armed, if not 0, takes force as ArmedAt begins.
 	Armed   Version
 	ArmedAt graniteknot.Step
 	// Held is the step that the rank does not begin; Never for none.
 	Held graniteknot.Step
-	// Working tells that the rank has requests, so that its group begins passes.
-	Working bool
+	// HasRequests tells that the rank has requests, so that its group begins passes.
+	HasRequests bool
 }
 
 // Kind says what an order does.
@@ -42,9 +42,9 @@
 	KindHold
 	// KindArm brings a prepared map into force as a step begins.
 	KindArm
-	// KindGo lets a held step begin. For step Never it does nothing but make the
+	// KindRelease lets a held step begin. For step Never it does nothing but make the
 	// rank know the keeper's fence.
-	KindGo
+	KindRelease
 )
 
 var kindWords = [...]string{"prepare", "hold", "arm", "go"}
--- a/expertmap/held/without.go
+++ b/expertmap/held/without.go
@@ -6,7 +6,7 @@
 	graniteknot "graniteknot.org/go"
 )
 
-// DecideWithout decides while one rank can't be reached: that of the former
+// DecideWithMissingRank decides while one rank can't be reached: that of the former
 // keeper, whose box has stopped. All it may do is let a held step begin that no
 // rank is armed for, so that the group does not stand until the box is back.
 //
@@ -16,20 +16,20 @@
 // group has to wait. So it has where no rank has requests: then it does not
 // matter, and the held step would not begin at once. A keeper that has sent arms
 // of its own for a step to come, to any rank, has to wait too.
-func DecideWithout(states []State, missing graniteknot.Rank, w Wish) Decision {
+func DecideWithMissingRank(states []State, missing graniteknot.Rank, w CoordinatorState) Decision {
 	others := slices.Delete(slices.Clone(states), int(missing), int(missing)+1)
 	g, whole := sum(others)
 	if !whole || g.apart {
 		return Decision{}
 	}
-	if g.armed != 0 || w.ArmAt > g.step {
+	if g.armed != 0 || w.ArmStep > g.step {
 		return Decision{Phase: PhaseArming}
 	}
-	working := slices.ContainsFunc(others, func(s State) bool { return s.Working })
-	if g.held == Never || !working {
+	working := slices.ContainsFunc(others, func(s State) bool { return s.HasRequests })
+	if g.held == NoStep || !working {
 		return Decision{Phase: PhaseIdle}
 	}
 	known := slices.Clone(states)
 	known[missing] = State{}
-	return Decision{Phase: PhaseReleasing, Orders: g.release(known), Freed: g.lastHeld}
+	return Decision{Phase: PhaseReleasing, Orders: g.release(known), ReleasedStep: g.lastHeld}
 }
--- a/expertmap/keeper.go
+++ b/expertmap/keeper.go
@@ -16,8 +16,8 @@
 	PhaseAdopting Phase = iota
 	// PhaseResetting waits until all ranks are ready to go on.
 	PhaseResetting
-	// PhaseGoing tells them to.
-	PhaseGoing
+	// PhaseResuming tells them to.
+	PhaseResuming
 	// PhaseIdle has nothing to do.
 	PhaseIdle
 	// PhaseLoading waits for the weights of a map.
@@ -40,25 +40,25 @@
 // MaxRanks bounds the size of a group.
 const MaxRanks = 64
 
-// Keeper decides for one group. Set the exported fields; it starts by reading
+// Coordinator decides for one group. Set the exported fields; it starts by reading
 // the ranks. It is used by one goroutine, and a copy shares nothing with it.
-type Keeper struct {
+type Coordinator struct {
 	// Incarnation is higher than any former keeper's.
 	Incarnation graniteknot.Incarnation
 	// Ranks is the size of the group, at most MaxRanks.
 	Ranks int
-	// First is the map of a group that never ran.
-	First Version
+	// InitialVersion is the map of a group that never ran.
+	InitialVersion Version
 	// Lead is how many steps ahead a map is armed; 1 when zero.
 	Lead graniteknot.Step
 
 	phase Phase
-	group Group
+	group Epoch
 	// current is the map in force, or that will be after the reset.
 	current Version
 	// switches counts the attempts; attempt, version and at are the present
 	// one's, or the reset's.
-	switches Switch
+	switches Attempt
 	version  Version
 	at       graniteknot.Step
 	// next is the highest next step that any rank told.
@@ -78,7 +78,7 @@
 	told bool
 	// apart tells that the ranks are not all running in one formation.
 	apart bool
-	group Group
+	group Epoch
 	// newest is the newest map in force at any rank.
 	newest Version
 	// armed and armedAt are of the latest switch under way, if there is one; committed
@@ -92,9 +92,9 @@
 
 // add takes in one rank's state.
 func (s *summary) add(r State) {
-	s.apart = s.apart || r.Group == 0 || r.Halted || s.told && r.Group != s.group
+	s.apart = s.apart || r.Epoch == 0 || r.Halted || s.told && r.Epoch != s.group
 	s.told = true
-	s.group = max(s.group, r.Group)
+	s.group = max(s.group, r.Epoch)
 	s.newest = max(s.newest, r.Current)
 	if r.Armed > s.armed {
 		s.armed, s.armedAt, s.committed = r.Armed, r.ArmedAt, false
@@ -105,14 +105,14 @@
 }
 
 // Phase returns what the keeper is doing.
-func (k *Keeper) Phase() Phase { return k.phase }
+func (k *Coordinator) Phase() Phase { return k.phase }
 
 // Current returns the map in force.
-func (k *Keeper) Current() Version { return k.current }
+func (k *Coordinator) Current() Version { return k.current }
 
 // Switch begins a switch to a newer map. Its outcome shows in Current once
 // the phase is PhaseIdle again.
-func (k *Keeper) Switch(v Version) ([]Message, error) {
+func (k *Coordinator) Switch(v Version) ([]Message, error) {
 	if k.phase != PhaseIdle || v <= k.current {
 		return nil, ErrBusy
 	}
@@ -121,30 +121,30 @@
 	return k.enter(PhaseLoading), nil
 }
 
-// GiveUp aborts a switch that is not decided yet, when a rank takes too long.
-func (k *Keeper) GiveUp() []Message {
+// Abort aborts a switch that is not decided yet, when a rank takes too long.
+func (k *Coordinator) Abort() []Message {
 	if k.phase != PhaseLoading && k.phase != PhaseArming {
 		return nil
 	}
 	return k.enter(PhaseAborting)
 }
 
-// Stranger returns the birth that this keeper's incarnation lies before, if
+// ReplacedRank returns the birth that this keeper's incarnation lies before, if
 // one of the ranks was replaced; its caller then adopts the ranks under a
 // higher one.
-func (k *Keeper) Stranger() (graniteknot.Incarnation, bool) { return k.born, k.born != 0 }
+func (k *Coordinator) ReplacedRank() (graniteknot.Incarnation, bool) { return k.born, k.born != 0 }
 
-// Adopt reads the ranks anew, when one of them was replaced. A decision that
+// Restart reads the ranks anew, when one of them was replaced. A decision that
 // was made stays in the ranks or is found again there.
-func (k *Keeper) Adopt(i graniteknot.Incarnation) []Message {
-	*k = Keeper{Incarnation: i, Ranks: k.Ranks, First: k.First, Lead: k.Lead}
+func (k *Coordinator) Restart(i graniteknot.Incarnation) []Message {
+	*k = Coordinator{Incarnation: i, Ranks: k.Ranks, InitialVersion: k.InitialVersion, Lead: k.Lead}
 	return k.Tick()
 }
 
 // Tick returns what has to be sent, or sent again, in the present phase. An
 // idle keeper asks its ranks whether they still know it: one that was replaced
 // knows nobody to ask.
-func (k *Keeper) Tick() []Message {
+func (k *Coordinator) Tick() []Message {
 	var out []Message
 	for r := range k.Ranks {
 		if k.answered&(1<<r) == 0 {
@@ -155,23 +155,23 @@
 }
 
 var phaseKinds = [...]Kind{
-	PhaseAdopting: KindAdopt, PhaseResetting: KindReset, PhaseGoing: KindGo, PhaseIdle: KindAdopt,
+	PhaseAdopting: KindAdopt, PhaseResetting: KindReset, PhaseResuming: KindResume, PhaseIdle: KindAdopt,
 	PhaseLoading: KindLoad, PhaseArming: KindArm, PhaseCommitting: KindCommit, PhaseAborting: KindAbort,
 }
 
-func (k *Keeper) message(r graniteknot.Rank) Message {
-	m := Message{Kind: phaseKinds[k.phase], Rank: r, Keeper: k.Incarnation, Group: k.group}
+func (k *Coordinator) message(r graniteknot.Rank) Message {
+	m := Message{Kind: phaseKinds[k.phase], Rank: r, Coordinator: k.Incarnation, Epoch: k.group}
 	if m.Kind != KindAdopt {
-		m.Switch, m.Version, m.At = k.switches, k.version, k.at
+		m.Attempt, m.Version, m.Step = k.switches, k.version, k.at
 	}
 	if k.phase == PhaseLoading {
 		// The step is chosen when the weights are there.
-		m.At = 0
+		m.Step = 0
 	}
 	return m
 }
 
-func (k *Keeper) enter(p Phase) []Message {
+func (k *Coordinator) enter(p Phase) []Message {
 	k.phase = p
 	k.answered = 0
 	if p == PhaseIdle {
@@ -181,15 +181,15 @@
 }
 
 // Handle takes a rank's answer and returns what follows from it.
-func (k *Keeper) Handle(m Message) []Message {
-	if m.Keeper != k.Incarnation {
+func (k *Coordinator) Handle(m Message) []Message {
+	if m.Coordinator != k.Incarnation {
 		return nil
 	}
-	if m.Kind == KindStranger {
-		k.born = max(k.born, m.Born)
+	if m.Kind == KindStaleCoordinator {
+		k.born = max(k.born, m.RankIncarnation)
 		return nil
 	}
-	k.next = max(k.next, m.Next)
+	k.next = max(k.next, m.NextStep)
 	if !k.expected(m) {
 		return nil
 	}
@@ -208,12 +208,12 @@
 }
 
 var phaseAnswers = [...]Kind{
-	PhaseAdopting: KindState, PhaseResetting: KindReady, PhaseGoing: KindGone, PhaseLoading: KindLoaded,
+	PhaseAdopting: KindState, PhaseResetting: KindReady, PhaseResuming: KindResumed, PhaseLoading: KindLoaded,
 	PhaseArming: KindArmed, PhaseCommitting: KindCommitted, PhaseAborting: KindAborted,
 }
 
 // expected tells whether a message answers the present phase.
-func (k *Keeper) expected(m Message) bool {
+func (k *Coordinator) expected(m Message) bool {
 	if k.phase == PhaseIdle {
 		return false
 	}
@@ -224,22 +224,22 @@
 	if k.phase == PhaseAdopting {
 		return true
 	}
-	return m.Group == k.group && m.Switch == k.switches && m.Version == k.version
+	return m.Epoch == k.group && m.Attempt == k.switches && m.Version == k.version
 }
 
 // advance goes on when all ranks have answered.
-func (k *Keeper) advance() []Message {
+func (k *Coordinator) advance() []Message {
 	switch k.phase {
 	case PhaseAdopting:
 		return k.decide()
 	case PhaseResetting:
-		return k.enter(PhaseGoing)
+		return k.enter(PhaseResuming)
 	case PhaseLoading:
 		k.at = k.next + max(k.Lead, 1)
 		return k.enter(PhaseArming)
 	case PhaseArming:
 		return k.enter(PhaseCommitting)
-	case PhaseGoing, PhaseCommitting:
+	case PhaseResuming, PhaseCommitting:
 		k.current = k.version
 		return k.enter(PhaseIdle)
 	case PhaseAborting:
@@ -250,7 +250,7 @@
 }
 
 // decide finds out from all ranks' states what a former keeper left.
-func (k *Keeper) decide() []Message {
+func (k *Coordinator) decide() []Message {
 	read := k.read
 	k.group = max(k.group, read.group)
 	if read.apart {
@@ -268,9 +268,9 @@
 }
 
 // form begins the next formation of the group, with the newest map in force.
-func (k *Keeper) form() []Message {
+func (k *Coordinator) form() []Message {
 	k.group++
-	k.version = max(k.read.newest, k.First)
+	k.version = max(k.read.newest, k.InitialVersion)
 	k.at = max(k.next, 1)
 	return k.enter(PhaseResetting)
 }
--- a/expertmap/message.go
+++ b/expertmap/message.go
@@ -5,11 +5,11 @@
 // Version numbers the maps of a group; a newer map has a larger one.
 type Version uint64
 
-// Group numbers the formations of a group: each loss of a rank starts another.
-type Group uint64
+// Epoch numbers the formations of a group: each loss of a rank starts another.
+type Epoch uint64
 
-// Switch numbers the attempts of one keeper to switch.
-type Switch uint64
+// Attempt numbers the attempts of one keeper to switch.
+type Attempt uint64
 
 // Kind says what a message is.
 type Kind uint8
@@ -21,8 +21,8 @@
 	KindAdopt Kind = iota
 	// KindReset forms the group anew: halt, load the map, be ready.
 	KindReset
-	// KindGo ends a reset.
-	KindGo
+	// KindResume ends a reset.
+	KindResume
 	// KindLoad asks for the weights of a map.
 	KindLoad
 	// KindArm asks to hold at a step unless a word came before.
@@ -36,8 +36,8 @@
 	KindState
 	// KindReady answers KindReset once the weights are loaded.
 	KindReady
-	// KindGone answers KindGo.
-	KindGone
+	// KindResumed answers KindGo.
+	KindResumed
 	// KindLoaded answers KindLoad once the weights are loaded.
 	KindLoaded
 	// KindArmed answers KindArm.
@@ -47,8 +47,8 @@
 	// KindCommitted and KindAborted answer the keeper's word.
 	KindCommitted
 	KindAborted
-	// KindStranger answers a keeper that began before the rank's present life.
-	KindStranger
+	// KindStaleCoordinator answers a keeper that began before the rank's present life.
+	KindStaleCoordinator
 )
 
 var kindWords = [...]string{
@@ -64,27 +64,27 @@
 	Kind Kind
 	// Rank is the rank that it goes to or comes from.
 	Rank graniteknot.Rank
-	// Keeper is the keeper's incarnation. A rank ignores all but the highest
+	// Coordinator is the keeper's incarnation. A rank ignores all but the highest
 	// that it adopted.
-	Keeper graniteknot.Incarnation
-	Group  Group
-	// Switch, Version and At name an attempt to switch. Of a reset, At is the
+	Coordinator graniteknot.Incarnation
+	Epoch       Epoch
+	// Attempt, Version and At name an attempt to switch. Of a reset, At is the
 	// step to go on from.
-	Switch  Switch
+	Attempt Attempt
 	Version Version
-	At      graniteknot.Step
+	Step    graniteknot.Step
 	// State is set in KindState.
 	State State
-	// Next is the rank's next step, in every answer.
-	Next graniteknot.Step
-	// Born is set in KindStranger.
-	Born graniteknot.Incarnation
+	// NextStep is the rank's next step, in every answer.
+	NextStep graniteknot.Step
+	// RankIncarnation is set in KindStranger.
+	RankIncarnation graniteknot.Incarnation
 }
 
 // State is what a rank knows.
 type State struct {
-	// Group is 0 for a rank that knows nothing.
-	Group   Group
+	// Epoch is 0 for a rank that knows nothing.
+	Epoch   Epoch
 	Current Version
 	// Halted ranks run nothing until KindGo.
 	Halted bool
@@ -92,6 +92,6 @@
 	Armed     Version
 	ArmedAt   graniteknot.Step
 	Committed bool
-	// Next is the step that the rank begins next.
-	Next graniteknot.Step
+	// NextStep is the step that the rank begins next.
+	NextStep graniteknot.Step
 }
--- a/expertmap/random_test.go
+++ b/expertmap/random_test.go
@@ -15,7 +15,7 @@
 type bus struct {
 	random *rand.Rand
 	ranks  []expertmap.Rank
-	keeper expertmap.Keeper
+	keeper expertmap.Coordinator
 	lives  graniteknot.Incarnation
 	// flying holds messages by the tick in which they arrive.
 	flying map[int][]expertmap.Message
@@ -40,7 +40,7 @@
 }
 
 func (b *bus) newKeeper() {
-	b.keeper = expertmap.Keeper{Incarnation: b.lives, Ranks: len(b.ranks), First: 1, Lead: 60}
+	b.keeper = expertmap.Coordinator{Incarnation: b.lives, Ranks: len(b.ranks), InitialVersion: 1, Lead: 60}
 	b.send(b.keeper.Tick())
 }
 
@@ -74,16 +74,16 @@
 		r := &b.ranks[m.Rank]
 		answer, ok, load := r.Handle(m)
 		if load != 0 && b.random.IntN(3) > 0 {
-			r.Loaded(load)
+			r.MarkLoaded(load)
 		}
 		if ok {
 			b.send([]expertmap.Message{answer})
 		}
 	}
 	b.begin()
-	if born, lost := b.keeper.Stranger(); lost {
+	if born, lost := b.keeper.ReplacedRank(); lost {
 		b.lives = max(b.lives, born) + 1
-		b.send(b.keeper.Adopt(b.lives))
+		b.send(b.keeper.Restart(b.lives))
 	}
 	if b.tick%5 == 0 {
 		b.send(b.keeper.Tick())
@@ -96,14 +96,14 @@
 	slowest := b.slowest()
 	for i := range b.ranks {
 		state := b.ranks[i].State()
-		if state.Next > slowest {
+		if state.NextStep > slowest {
 			continue
 		}
-		version, ok := b.ranks[i].Begin()
+		version, ok := b.ranks[i].BeginStep()
 		if !ok {
 			continue
 		}
-		key := fmt.Sprint(state.Group, "/", state.Next)
+		key := fmt.Sprint(state.Epoch, "/", state.NextStep)
 		if was, seen := b.ran[key]; seen && was != version {
 			b.broken = fmt.Sprintf("step %s ran with maps %d and %d", key, was, version)
 		}
@@ -112,9 +112,9 @@
 }
 
 func (b *bus) slowest() graniteknot.Step {
-	low := b.ranks[0].State().Next
+	low := b.ranks[0].State().NextStep
 	for i := range b.ranks {
-		low = min(low, b.ranks[i].State().Next)
+		low = min(low, b.ranks[i].State().NextStep)
 	}
 	return low
 }
@@ -128,9 +128,9 @@
 	case 1:
 		i := b.random.IntN(len(b.ranks))
 		b.lives++
-		b.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i), Born: b.lives}
+		b.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i), Incarnation: b.lives}
 	case 2:
-		b.send(b.keeper.GiveUp())
+		b.send(b.keeper.Abort())
 	}
 	if messages, err := b.keeper.Switch(b.keeper.Current() + 1); err == nil {
 		b.send(messages)
@@ -253,7 +253,7 @@
 			r := &b.ranks[m.Rank]
 			answer, ok, load := r.Handle(m)
 			if load != 0 {
-				r.Loaded(load)
+				r.MarkLoaded(load)
 				answer, ok, _ = r.Handle(m)
 			}
 			if ok {
--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -6,26 +6,26 @@
 // runs nothing. It is used by one goroutine.
 type Rank struct {
 	ID graniteknot.Rank
-	// Born is this life of the rank: its start time, plus what clocks may
+	// Incarnation is this life of the rank: its start time, plus what clocks may
 	// differ by. Keepers that began before know only a former life; what they
 	// sent it must not be taken by this one, so only later keepers are followed.
-	Born graniteknot.Incarnation
+	Incarnation graniteknot.Incarnation
 
 	state State
 	// keeper is the highest incarnation adopted.
 	keeper graniteknot.Incarnation
 	// ended is the highest attempt of that keeper that was aborted; a late
 	// KindArm of it arms nothing.
-	ended Switch
+	ended Attempt
 	// loaded holds the maps whose weights are here: the current one and at most
 	// one more.
 	loaded [2]Version
 }
 
-// Begin starts the next step and returns the map to run it with. It returns
+// BeginStep starts the next step and returns the map to run it with. It returns
 // false while the rank has to hold.
-func (r *Rank) Begin() (Version, bool) {
-	if r.state.Group == 0 || r.state.Halted {
+func (r *Rank) BeginStep() (Version, bool) {
+	if r.state.Epoch == 0 || r.state.Halted {
 		return 0, false
 	}
 	if r.due() {
@@ -34,12 +34,12 @@
 		}
 		r.enforce()
 	}
-	r.state.Next++
+	r.state.NextStep++
 	return r.state.Current, true
 }
 
 // due tells whether the armed step is next.
-func (r *Rank) due() bool { return r.state.Armed != 0 && r.state.Next >= r.state.ArmedAt }
+func (r *Rank) due() bool { return r.state.Armed != 0 && r.state.NextStep >= r.state.ArmedAt }
 
 // enforce brings a committed map into force.
 func (r *Rank) enforce() {
@@ -59,11 +59,11 @@
 // State returns what the rank knows.
 func (r *Rank) State() State { return r.state }
 
-// Follows returns the incarnation of the keeper that the rank listens to.
-func (r *Rank) Follows() graniteknot.Incarnation { return r.keeper }
+// Coordinator returns the incarnation of the keeper that the rank listens to.
+func (r *Rank) Coordinator() graniteknot.Incarnation { return r.keeper }
 
-// Loaded notes that the weights of a map are here.
-func (r *Rank) Loaded(v Version) {
+// MarkLoaded notes that the weights of a map are here.
+func (r *Rank) MarkLoaded(v Version) {
 	if r.has(v) {
 		return
 	}
@@ -75,18 +75,18 @@
 // Handle takes a message from a keeper. It returns the answer, if there is one
 // now, and the map whose weights have to be loaded first, or 0.
 func (r *Rank) Handle(m Message) (answer Message, answered bool, load Version) {
-	if m.Keeper < r.keeper {
+	if m.Coordinator < r.keeper {
 		return Message{}, false, 0
 	}
-	if m.Keeper <= r.Born {
+	if m.Coordinator <= r.Incarnation {
 		return r.stranger(m), true, 0
 	}
-	if m.Keeper > r.keeper {
+	if m.Coordinator > r.keeper {
 		if m.Kind != KindAdopt {
 			// A keeper reads a rank before it tells it anything.
 			return Message{}, false, 0
 		}
-		r.keeper, r.ended = m.Keeper, 0
+		r.keeper, r.ended = m.Coordinator, 0
 	}
 	kind, answered, load := r.act(m)
 	if !answered {
@@ -95,7 +95,7 @@
 	answer = m
 	answer.Kind = kind
 	answer.Rank = r.ID
-	answer.Next = r.state.Next
+	answer.NextStep = r.state.NextStep
 	if kind == KindState {
 		answer.State = r.state
 	}
@@ -104,7 +104,7 @@
 
 // stranger tells a keeper that it knows a former life of the rank.
 func (r *Rank) stranger(m Message) Message {
-	m.Kind, m.Rank, m.Born = KindStranger, r.ID, r.Born
+	m.Kind, m.Rank, m.RankIncarnation = KindStaleCoordinator, r.ID, r.Incarnation
 	return m
 }
 
@@ -115,11 +115,11 @@
 	if m.Kind == KindReset {
 		return r.reset(m)
 	}
-	if m.Group != r.state.Group {
+	if m.Epoch != r.state.Epoch {
 		return 0, false, 0
 	}
 	switch m.Kind {
-	case KindGo:
+	case KindResume:
 		return r.goOn(m)
 	case KindLoad:
 		if !r.has(m.Version) {
@@ -132,18 +132,18 @@
 		return r.commit(m)
 	case KindAbort:
 		return r.abort(m)
-	case KindAdopt, KindReset, KindState, KindReady, KindGone, KindLoaded, KindArmed, KindTooLate, KindCommitted, KindAborted, KindStranger:
+	case KindAdopt, KindReset, KindState, KindReady, KindResumed, KindLoaded, KindArmed, KindTooLate, KindCommitted, KindAborted, KindStaleCoordinator:
 	}
 	return 0, false, 0
 }
 
 // reset halts the rank in a new formation of the group.
 func (r *Rank) reset(m Message) (Kind, bool, Version) {
-	if m.Group < r.state.Group || m.Group == r.state.Group && !r.state.Halted {
+	if m.Epoch < r.state.Epoch || m.Epoch == r.state.Epoch && !r.state.Halted {
 		return 0, false, 0
 	}
 	r.disarm()
-	r.state.Group, r.state.Halted = m.Group, true
+	r.state.Epoch, r.state.Halted = m.Epoch, true
 	if !r.has(m.Version) {
 		return 0, false, m.Version
 	}
@@ -154,31 +154,31 @@
 func (r *Rank) goOn(m Message) (Kind, bool, Version) {
 	if r.state.Halted && r.state.Current == m.Version {
 		r.state.Halted = false
-		r.state.Next = m.At
+		r.state.NextStep = m.Step
 	}
 	if r.state.Halted {
 		return 0, false, 0
 	}
-	return KindGone, true, 0
+	return KindResumed, true, 0
 }
 
 func (r *Rank) arm(m Message) (Kind, bool, Version) {
-	if r.state.Halted || m.Switch <= r.ended || !r.has(m.Version) || r.state.Current == m.Version {
+	if r.state.Halted || m.Attempt <= r.ended || !r.has(m.Version) || r.state.Current == m.Version {
 		return 0, false, 0
 	}
 	if r.state.Armed != 0 {
-		same := r.state.Armed == m.Version && r.state.ArmedAt == m.At
+		same := r.state.Armed == m.Version && r.state.ArmedAt == m.Step
 		return KindArmed, same, 0
 	}
-	if r.state.Next > m.At {
+	if r.state.NextStep > m.Step {
 		return KindTooLate, true, 0
 	}
-	r.state.Armed, r.state.ArmedAt = m.Version, m.At
+	r.state.Armed, r.state.ArmedAt = m.Version, m.Step
 	return KindArmed, true, 0
 }
 
 func (r *Rank) commit(m Message) (Kind, bool, Version) {
-	if r.state.Armed == m.Version && r.state.ArmedAt == m.At {
+	if r.state.Armed == m.Version && r.state.ArmedAt == m.Step {
 		r.state.Committed = true
 	}
 	done := r.state.Current == m.Version || r.state.Armed == m.Version && r.state.Committed
@@ -186,8 +186,8 @@
 }
 
 func (r *Rank) abort(m Message) (Kind, bool, Version) {
-	r.ended = max(r.ended, m.Switch)
-	if r.state.Armed == m.Version && r.state.ArmedAt == m.At && !r.state.Committed {
+	r.ended = max(r.ended, m.Attempt)
+	if r.state.Armed == m.Version && r.state.ArmedAt == m.Step && !r.state.Committed {
 		r.disarm()
 	}
 	return KindAborted, true, 0
--- a/fold/error.go
+++ b/fold/error.go
@@ -9,14 +9,14 @@
 const (
 	// KindMalformed is a record that can't be read.
 	KindMalformed Kind = "malformed"
-	// KindUnproved is a record whose publisher is not proved.
-	KindUnproved Kind = "not proved"
-	// KindClash is a change against a version that is no longer in force.
-	KindClash Kind = "clash"
+	// KindUnverified is a record whose publisher is not proved.
+	KindUnverified Kind = "not proved"
+	// KindConflict is a change against a version that is no longer in force.
+	KindConflict Kind = "clash"
 	// KindInvalid is a change that the tree refuses.
 	KindInvalid Kind = "invalid"
-	// KindMismatch is a snapshot that does not give the digest it states.
-	KindMismatch Kind = "mismatch"
+	// KindDigestMismatch is a snapshot that does not give the digest it states.
+	KindDigestMismatch Kind = "mismatch"
 	// KindGap is a record that does not follow the one before.
 	KindGap Kind = "gap"
 )
--- a/fold/example_test.go
+++ b/fold/example_test.go
@@ -14,7 +14,7 @@
 // A signed change is accepted, and its copy is refused.
 func Example() {
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	trust := &fold.Trust{}
+	trust := &fold.TrustStore{}
 	public, _ := key.Public().(ed25519.PublicKey)
 	trust.Add("herbarium", public)
 	change := &wire.Change{Id: "1", Branch: "herbarium", Text: "[partner]\ndeadline = 5s\n"}
@@ -24,10 +24,10 @@
 		fmt.Println(err)
 		return
 	}
-	state := fold.New(trust)
+	state := fold.NewState(trust)
 	for offset := range graniteknot.Offset(2) {
 		verdict, err := state.Apply(graniteknot.Record{Offset: offset + 1, Data: data})
-		fmt.Println(verdict.Fate, err)
+		fmt.Println(verdict.Status, err)
 	}
 	// Output:
 	// accepted <nil>
--- a/fold/fold_test.go
+++ b/fold/fold_test.go
@@ -29,7 +29,7 @@
 	communications graniteknot.Partner = "communications"
 )
 
-func newTrust() *fold.Trust { return signer.Trust(herbarium, communications) }
+func newTrust() *fold.TrustStore { return signer.Trust(herbarium, communications) }
 
 // apply folds data as the next record.
 func apply(t testing.TB, s *fold.State, data []byte) fold.Verdict {
@@ -42,49 +42,49 @@
 }
 
 func TestClashIsRefused(t *testing.T) {
-	s := fold.New(newTrust())
+	s := fold.NewState(newTrust())
 	first := signer.Change(herbarium, "herbarium", 0, "[partner]\ndeadline = 5s\n")
-	if v := apply(t, s, first); v.Fate != fold.FateAccepted {
+	if v := apply(t, s, first); v.Status != fold.StatusAccepted {
 		t.Fatalf("%+v", v)
 	}
-	if v := apply(t, s, signer.Change(herbarium, "herbarium", 0, "[partner]\ndeadline = 6s\n")); v.Err == nil || v.Err.Kind != fold.KindClash {
+	if v := apply(t, s, signer.Change(herbarium, "herbarium", 0, "[partner]\ndeadline = 6s\n")); v.Err == nil || v.Err.Kind != fold.KindConflict {
 		t.Errorf("a change against an old version: %+v", v)
 	}
-	if v := apply(t, s, first); v.Fate != fold.FateRefused {
+	if v := apply(t, s, first); v.Status != fold.StatusRefused {
 		t.Errorf("a second copy: %+v", v)
 	}
-	if v := apply(t, s, signer.Change(communications, "communications", 0, "[partner]\ndeadline = 7s\n")); v.Fate != fold.FateAccepted {
+	if v := apply(t, s, signer.Change(communications, "communications", 0, "[partner]\ndeadline = 7s\n")); v.Status != fold.StatusAccepted {
 		t.Errorf("the other branch: %+v", v)
 	}
 }
 
 func TestPublisherIsProved(t *testing.T) {
-	s := fold.New(newTrust())
+	s := fold.NewState(newTrust())
 	text := "[partner]\ndeadline = 5s\n"
-	if v := apply(t, s, signer.Change(herbarium, "communications", 0, text)); v.Err == nil || v.Err.Kind != fold.KindUnproved {
+	if v := apply(t, s, signer.Change(herbarium, "communications", 0, text)); v.Err == nil || v.Err.Kind != fold.KindUnverified {
 		t.Errorf("another's branch: %+v", v)
 	}
 	c := &wire.Change{Id: "x", Branch: "herbarium", Text: text}
 	fold.Sign(c, herbarium, signer.Key(communications))
 	data, _ := proto.Marshal(&wire.SettingsRecord{Body: &wire.SettingsRecord_Change{Change: c}})
-	if v := apply(t, s, data); v.Err == nil || v.Err.Kind != fold.KindUnproved {
+	if v := apply(t, s, data); v.Err == nil || v.Err.Kind != fold.KindUnverified {
 		t.Errorf("another's key: %+v", v)
 	}
 }
 
 func TestRootNeedsBothPartners(t *testing.T) {
-	s := fold.New(newTrust())
+	s := fold.NewState(newTrust())
 	text := "[root]\naddress_valid = 20s\n"
-	if v := apply(t, s, signer.Change(herbarium, "root", 0, text)); v.Fate != fold.FatePending {
+	if v := apply(t, s, signer.Change(herbarium, "root", 0, text)); v.Status != fold.StatusPending {
 		t.Fatalf("%+v", v)
 	}
-	if v := apply(t, s, signer.Change(herbarium, "root", 0, text)); v.Fate != fold.FatePending {
+	if v := apply(t, s, signer.Change(herbarium, "root", 0, text)); v.Status != fold.StatusPending {
 		t.Errorf("a partner consented to its own change: %+v", v)
 	}
-	if v := apply(t, s, signer.Change(communications, "root", 0, "[root]\naddress_valid = 30s\n")); v.Fate != fold.FatePending {
+	if v := apply(t, s, signer.Change(communications, "root", 0, "[root]\naddress_valid = 30s\n")); v.Status != fold.StatusPending {
 		t.Errorf("another text: %+v", v)
 	}
-	if v := apply(t, s, signer.Change(communications, "root", 0, text)); v.Fate != fold.FateAccepted {
+	if v := apply(t, s, signer.Change(communications, "root", 0, text)); v.Status != fold.StatusAccepted {
 		t.Errorf("consent: %+v", v)
 	}
 	if got := s.Tree().Root().AddressValid.Seconds(); got != 20 {
@@ -93,7 +93,7 @@
 }
 
 func TestFixedValuesStay(t *testing.T) {
-	s := fold.New(newTrust())
+	s := fold.NewState(newTrust())
 	with := func(at string) string { return "[service wire]\nkind = plain\nclaims_at = " + at + "\n" }
 	apply(t, s, signer.Change(herbarium, "herbarium", 0, with("127.0.0.1:1")))
 	version := int64(s.Version("herbarium"))
@@ -143,7 +143,7 @@
 func TestSnapshotStandsForThePrefix(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		trust := newTrust()
-		whole := fold.New(trust)
+		whole := fold.NewState(trust)
 		var restored *fold.State
 		for range rapid.IntRange(1, 25).Draw(rt, "records") {
 			data := drawChange(rt, whole)
@@ -158,7 +158,7 @@
 				continue
 			}
 			w := apply(t, restored, data)
-			if v.Fate != w.Fate || whole.Digest() != restored.Digest() {
+			if v.Status != w.Status || whole.Digest() != restored.Digest() {
 				rt.Fatalf("%+v and %+v, digests %x and %x", v, w, whole.Digest(), restored.Digest())
 			}
 		}
@@ -167,7 +167,7 @@
 
 func TestSnapshotIsProved(t *testing.T) {
 	trust := newTrust()
-	s := fold.New(trust)
+	s := fold.NewState(trust)
 	apply(t, s, signer.Change(herbarium, "herbarium", 0, "[partner]\ndeadline = 5s\n"))
 	snapshot := s.Snapshot()
 	snapshot.Accepted[0].Change.Text = "[partner]\ndeadline = 9s\n"
@@ -189,16 +189,16 @@
 	f.Add([]byte{})
 	f.Add([]byte("\x0a\xff\xff\xff\xff\x0f"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		a, b := fold.New(newTrust()), fold.New(newTrust())
+		a, b := fold.NewState(newTrust()), fold.NewState(newTrust())
 		first := signer.Change(herbarium, "herbarium", 0, "[account a]\nkey_sha256 = "+settings.HashKey("k")+"\n")
 		apply(t, a, first)
 		apply(t, b, first)
 		before := a.Digest()
 		v, w := apply(t, a, data), apply(t, b, data)
-		if v.Fate != w.Fate || a.Digest() != b.Digest() {
+		if v.Status != w.Status || a.Digest() != b.Digest() {
 			t.Errorf("two folds differ: %+v, %+v", v, w)
 		}
-		if v.Fate != fold.FateAccepted && a.Digest() != before {
+		if v.Status != fold.StatusAccepted && a.Digest() != before {
 			t.Errorf("the tree changed with %+v", v)
 		}
 	})
@@ -211,7 +211,7 @@
 
 // largeState is the two-year size: 26,000 accounts and 19 models.
 func largeState(t testing.TB) *fold.State {
-	s := fold.New(newTrust())
+	s := fold.NewState(newTrust())
 	for i := 0; i < accounts; i += 100 {
 		text := ""
 		for j := range 100 {
--- a/fold/snapshot.go
+++ b/fold/snapshot.go
@@ -29,8 +29,8 @@
 
 // Restore returns the state that a snapshot describes. It proves every change
 // in it by its signature, and the whole by the digest that it states.
-func Restore(trust *Trust, snapshot *wire.Snapshot) (*State, error) {
-	s := New(trust)
+func Restore(trust *TrustStore, snapshot *wire.Snapshot) (*State, error) {
+	s := NewState(trust)
 	for _, a := range snapshot.GetAccepted() {
 		if err := s.replay(a); err != nil {
 			return nil, err
@@ -41,14 +41,14 @@
 	}
 	for _, p := range snapshot.GetPending() {
 		if err := trust.verify(p.GetChange()); err != nil {
-			return nil, &Error{Op: "restore", Kind: KindUnproved, Err: err}
+			return nil, &Error{Op: "restore", Kind: KindUnverified, Err: err}
 		}
 		s.pending = append(s.pending, p.GetChange())
 	}
 	s.offset = graniteknot.Offset(snapshot.GetOffset())
 	if s.Digest() != snapshot.GetDigest() {
 		err := fmt.Errorf("digest %x, stated %x", s.Digest(), snapshot.GetDigest())
-		return nil, &Error{Op: "restore", Kind: KindMismatch, Err: err}
+		return nil, &Error{Op: "restore", Kind: KindDigestMismatch, Err: err}
 	}
 	return s, nil
 }
@@ -58,7 +58,7 @@
 func (s *State) replay(a *wire.Accepted) error {
 	c := a.GetChange()
 	if err := s.proveAccepted(a); err != nil {
-		return &Error{Op: "restore", Kind: KindUnproved, Err: err}
+		return &Error{Op: "restore", Kind: KindUnverified, Err: err}
 	}
 	patch, err := settings.ParsePatch("change "+c.GetId(), settings.Branch(c.GetBranch()), []byte(c.GetText()))
 	if err != nil {
--- a/fold/state.go
+++ b/fold/state.go
@@ -17,7 +17,7 @@
 // State is the fold of a prefix of the settings stream. It is not safe for
 // use by several goroutines; the trees that it gives out are.
 type State struct {
-	trust  *Trust
+	trust  *TrustStore
 	tree   *settings.Tree
 	offset graniteknot.Offset
 	// versions holds, for each branch, the offset of its last accepted
@@ -35,8 +35,8 @@
 	sections        int
 }
 
-// New returns the fold of the empty log.
-func New(trust *Trust) *State {
+// NewState returns the fold of the empty log.
+func NewState(trust *TrustStore) *State {
 	return &State{
 		trust:    trust,
 		tree:     &settings.Tree{},
@@ -81,20 +81,20 @@
 
 func refused(at graniteknot.Offset, c *wire.Change, kind Kind, err error) Verdict {
 	return Verdict{
-		Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Fate: FateRefused,
+		Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Status: StatusRefused,
 		Err: &Error{Op: "accept", Kind: kind, Err: err},
 	}
 }
 
 func (s *State) decide(at graniteknot.Offset, c *wire.Change) Verdict {
 	if err := s.trust.verify(c); err != nil {
-		return refused(at, c, KindUnproved, err)
+		return refused(at, c, KindUnverified, err)
 	}
 	branch := settings.Branch(c.GetBranch())
 	current := s.versions[branch]
 	if graniteknot.Offset(c.GetAgainst()) != current && !s.trust.NoVersionCheck {
 		err := fmt.Errorf("made against version %d of branch %s, in force is %d", c.GetAgainst(), branch, current)
-		return refused(at, c, KindClash, err)
+		return refused(at, c, KindConflict, err)
 	}
 	patch, err := settings.ParsePatch("change "+c.GetId(), branch, []byte(c.GetText()))
 	if err != nil {
@@ -107,10 +107,10 @@
 	}
 	consent, complete := s.consent(c)
 	if !complete {
-		return Verdict{Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Fate: FatePending}
+		return Verdict{Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Status: StatusPending}
 	}
 	s.accept(at, c, consent, patch, tree)
-	return Verdict{Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Fate: FateAccepted}
+	return Verdict{Offset: at, ID: c.GetId(), Branch: c.GetBranch(), Signer: c.GetSigner(), Status: StatusAccepted}
 }
 
 // consent tells whether all partners have signed, and returns the other's
--- a/fold/trust.go
+++ b/fold/trust.go
@@ -11,9 +11,9 @@
 	"graniteknot.org/go/settings"
 )
 
-// Trust holds the partners' public keys, from each box's own settings. All
+// TrustStore holds the partners' public keys, from each box's own settings. All
 // processes must hold the same ones, or they fold differently.
-type Trust struct {
+type TrustStore struct {
 	// NoVersionCheck takes the check of versions out, for the test that shows
 	// that it is needed.
 	NoVersionCheck bool
@@ -28,12 +28,12 @@
 
 // Add makes a partner's signatures count. The key has ed25519.PublicKeySize
 // bytes.
-func (t *Trust) Add(p graniteknot.Partner, key ed25519.PublicKey) {
+func (t *TrustStore) Add(p graniteknot.Partner, key ed25519.PublicKey) {
 	t.keys = append(t.keys, trusted{partner: p, key: key})
 }
 
 // Partners returns the partners whose consent a root change needs.
-func (t *Trust) Partners() []graniteknot.Partner {
+func (t *TrustStore) Partners() []graniteknot.Partner {
 	out := make([]graniteknot.Partner, len(t.keys))
 	for i, k := range t.keys {
 		out[i] = k.partner
@@ -59,7 +59,7 @@
 }
 
 // verify proves who published a change and that it is theirs to make.
-func (t *Trust) verify(c *wire.Change) error {
+func (t *TrustStore) verify(c *wire.Change) error {
 	i := slices.IndexFunc(t.keys, func(k trusted) bool { return string(k.partner) == c.GetSigner() })
 	if i < 0 {
 		return errors.New("unknown signer " + c.GetSigner())
--- a/fold/verdict.go
+++ b/fold/verdict.go
@@ -2,25 +2,25 @@
 
 import graniteknot "graniteknot.org/go"
 
-// Fate is what became of a change.
-type Fate uint8
+// Status is what became of a change.
+type Status uint8
 
 // The fates of a change.
 const (
-	// FateNone is for records that are no change.
-	FateNone Fate = iota
-	// FateAccepted changes are in the tree.
-	FateAccepted
-	// FateRefused changes never will be.
-	FateRefused
-	// FatePending root changes wait for the other partner.
-	FatePending
+	// StatusNone is for records that are no change.
+	StatusNone Status = iota
+	// StatusAccepted changes are in the tree.
+	StatusAccepted
+	// StatusRefused changes never will be.
+	StatusRefused
+	// StatusPending root changes wait for the other partner.
+	StatusPending
 )
 
 var fateWords = [...]string{"none", "accepted", "refused", "pending"}
 
 // String returns the word used in answers to operators.
-func (f Fate) String() string { return fateWords[f] }
+func (f Status) String() string { return fateWords[f] }
 
 // Verdict is what the fold decided on one record.
 type Verdict struct {
@@ -29,7 +29,7 @@
 	ID     string
 	Branch string
 	Signer string
-	Fate   Fate
+	Status Status
 	// Err tells why a change was refused.
 	Err *Error
 }
--- a/internal/core/dev/day.go
+++ b/internal/core/dev/day.go
@@ -53,7 +53,7 @@
 func (r *Result) Broken() bool {
 	for _, w := range r.Workloads {
 		// No process dies in the day, so nothing may end unknown.
-		if w.Report.Broken() || w.Report.Unknown > 0 {
+		if w.Report.Violated() || w.Report.Unknown > 0 {
 			return true
 		}
 	}
@@ -89,8 +89,8 @@
 	result.Maps, result.Group = pool.loop.Stats(), pool.ranks.Stats()
 	for i, w := range result.Workloads {
 		w.Check(c.Partners[i].service.Runs)
-		if w.Report.Example != "" {
-			result.Example = c.timeline(w.Report.Example)
+		if w.Report.FirstUnknown != "" {
+			result.Example = c.timeline(w.Report.FirstUnknown)
 		}
 	}
 	return result
@@ -108,14 +108,14 @@
 func (c *Cluster) workload(p *Partner, day Day, seed uint64) *load.Workload {
 	const preambleSize, preambles, tokens = 2048, 8, 48
 	w := &load.Workload{
-		Partner: p.Name, Model: p.Model, Plain: p.PlainOf, Rate: day.SheetRate, Seed: seed,
-		Preambles: load.Preambles(string(p.Model), preambles, preambleSize), Tokens: tokens, Report: load.NewReport(),
+		Partner: p.Name, ModelService: p.Model, PlainService: p.PlainOf, Rate: day.SheetRate, Seed: seed,
+		PromptPrefixes: load.NewPromptPrefixes(string(p.Model), preambles, preambleSize), Tokens: tokens, Report: load.NewReport(),
 	}
 	if p.Name == Communications {
 		w.Rate, w.Burst = day.NoticeRate, day.NoticeBurst
 	}
 	for _, key := range p.Keys {
-		w.Callers = append(w.Callers, &load.Caller{Entries: entryAddresses(p.Entries), Key: key, HTTP: p.client})
+		w.Callers = append(w.Callers, &load.Caller{EntryAddresses: entryAddresses(p.Entries), Key: key, HTTP: p.client})
 	}
 	return w
 }
@@ -190,7 +190,7 @@
 		p := l.Report
 		const half, most, nearlyAll = 50, 95, 99
 		_, _ = fmt.Fprintf(w, "%-16s %7d %9d %8d %8d %7d %5d %8d %9d %8d %9s %9s %9s\n", l.Partner, p.Sent, p.Answered,
-			p.NotRun, p.Unknown, p.Untold, p.Lost, p.Doubled, p.MixedUp, p.Untrue, short(p.Latency(half)),
+			p.NotRun, p.Unknown, p.NoResponse, p.Lost, p.Duplicated, p.Mismatched, p.FalseNotRun, short(p.Latency(half)),
 			short(p.Latency(most)), short(p.Latency(nearlyAll)))
 	}
 	for _, l := range r.Workloads {
--- a/internal/core/dev/day_test.go
+++ b/internal/core/dev/day_test.go
@@ -29,8 +29,8 @@
 	for _, w := range result.Workloads {
 		r := w.Report
 		t.Logf("%s: sent %d answered %d not-run %d unknown %d untold %d lost %d doubled %d mixed up %d untrue %d",
-			w.Partner, r.Sent, r.Answered, r.NotRun, r.Unknown, r.Untold, r.Lost, r.Doubled, r.MixedUp, r.Untrue)
-		if r.Doubled+r.MixedUp+r.Untrue+r.Lost > 0 || r.Answered == 0 {
+			w.Partner, r.Sent, r.Answered, r.NotRun, r.Unknown, r.NoResponse, r.Lost, r.Duplicated, r.Mismatched, r.FalseNotRun)
+		if r.Duplicated+r.Mismatched+r.FalseNotRun+r.Lost > 0 || r.Answered == 0 {
 			t.Errorf("%s: a promise was broken", w.Partner)
 		}
 	}
@@ -57,7 +57,7 @@
 	}
 	for _, w := range c.Play(context.Background(), day).Workloads {
 		t.Logf("%s: sent %d answered %d unknown %d", w.Partner, w.Report.Sent, w.Report.Answered, w.Report.Unknown)
-		if w.Report.Broken() || w.Report.Answered == 0 {
+		if w.Report.Violated() || w.Report.Answered == 0 {
 			t.Errorf("%s: a promise was broken", w.Partner)
 		}
 	}
@@ -81,8 +81,8 @@
 	result := c.Play(context.Background(), day)
 	for _, w := range result.Workloads {
 		r := w.Report
-		t.Logf("%s: sent %d answered %d not-run %d unknown %d untold %d", w.Partner, r.Sent, r.Answered, r.NotRun, r.Unknown, r.Untold)
-		if r.Broken() || r.Unknown+r.Untold > 0 {
+		t.Logf("%s: sent %d answered %d not-run %d unknown %d untold %d", w.Partner, r.Sent, r.Answered, r.NotRun, r.Unknown, r.NoResponse)
+		if r.Violated() || r.Unknown+r.NoResponse > 0 {
 			t.Errorf("%s: %+v", w.Partner, r.Codes)
 		}
 	}
@@ -95,8 +95,8 @@
 	defer cut()
 	c := newCluster(t, dev.Options{AddressValid: time.Minute})
 	p := c.Partners[0]
-	caller := &load.Caller{Entries: []graniteknot.Address{p.Entries[0].Config.Listen}, Key: p.Keys[0], HTTP: http.DefaultClient}
-	key, err := caller.NewKey(ctx, p.PlainOf)
+	caller := &load.Caller{EntryAddresses: []graniteknot.Address{p.Entries[0].Config.Listen}, Key: p.Keys[0], HTTP: http.DefaultClient}
+	key, err := caller.NewIdempotencyKey(ctx, p.PlainOf)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/core/dev/pool.go
+++ b/internal/core/dev/pool.go
@@ -42,7 +42,7 @@
 	}, firstMap, placement)
 	return &pool{ranks: group, loop: &mapkeeper.Loop{
 		Transport: group, Planner: &planner.Planner{Shape: shape}, Placement: placement, PlanInterval: groupPeriod,
-		Coordinator: &expertmap.Keeper{Incarnation: graniteknot.NewIncarnation(time.Now()), Ranks: groupRanks, First: firstMap, Lead: groupLead},
+		Coordinator: &expertmap.Coordinator{Incarnation: graniteknot.NewIncarnation(time.Now()), Ranks: groupRanks, InitialVersion: firstMap, Lead: groupLead},
 		ExpertSize:  expertSize, Weights: c.weights,
 	}}
 }
@@ -54,5 +54,5 @@
 		skew, cost := tree.Weights(p.Name)
 		return planner.Weights{Skew: float64(skew), Cost: float64(cost)}
 	}
-	return planner.Blend(of(c.Partners[0]), of(c.Partners[1]), 1, 1)
+	return planner.BlendWeights(of(c.Partners[0]), of(c.Partners[1]), 1, 1)
 }
--- a/internal/core/dev/settings.go
+++ b/internal/core/dev/settings.go
@@ -38,7 +38,7 @@
 func (c *Cluster) Publish(ctx context.Context, p *Partner, b settings.Branch, text string) (publish.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, publishTime)
 	defer cancel()
-	trust := &fold.Trust{}
+	trust := &fold.TrustStore{}
 	for _, each := range c.Partners {
 		trust.Add(each.Name, each.Public)
 	}
@@ -47,7 +47,7 @@
 		Id: fmt.Sprintf("%s-%d", p.Name, time.Now().UnixNano()), Branch: string(b), Against: int64(publish.Current), Text: text,
 	}
 	answer, err := publisher.Publish(ctx, change)
-	if err == nil && answer.Fate == fold.FateRefused {
+	if err == nil && answer.Fate == fold.StatusRefused {
 		err = fmt.Errorf("publish %s: %s", b, answer.Reason)
 	}
 	return answer, err
--- a/internal/core/dev/size_bench_test.go
+++ b/internal/core/dev/size_bench_test.go
@@ -44,18 +44,18 @@
 }
 
 func fullTable(n int, now time.Time) *route.Table {
-	table := &route.Table{Policy: route.Weighted{}}
+	table := &route.Table{Policy: route.LeastLatency{}}
 	var addresses []graniteknot.Address
 	for i := range n {
 		addresses = append(addresses, boxAddress(i))
 	}
-	table.Set(addresses, now)
+	table.SetTargets(addresses, now)
 	for i, a := range addresses {
 		load := route.Load{Incarnation: 1, Slots: 16}
 		for p := range 32 {
 			load.Prefixes = append(load.Prefixes, uint64(i*32+p+1))
 		}
-		table.Report(a, load, now)
+		table.UpdateLoad(a, load, now)
 	}
 	return table
 }
@@ -71,7 +71,7 @@
 func fullAccounts(n int, now time.Time) *limit.Accounts {
 	t := &limit.Accounts{}
 	for i := range n {
-		t.Get(limit.Name{Partner: "p", Account: graniteknot.Account(fmt.Sprintf("account-%05d", i))}, now)
+		t.Get(limit.AccountName{Partner: "p", Account: graniteknot.Account(fmt.Sprintf("account-%05d", i))}, now)
 	}
 	return t
 }
--- a/internal/core/entry/address.go
+++ b/internal/core/entry/address.go
@@ -108,7 +108,7 @@
 // target has been heard from.
 func (e *Entry) keyPrefix(ctx context.Context, s *settings.ServiceView) string {
 	now := time.Now()
-	choice, ok := e.relay.Authority(ctx, s, &route.Query{Zone: e.node.Config.Zone, Now: now})
+	choice, ok := e.relay.ChooseAuthority(ctx, s, &route.Query{Zone: e.node.Config.Zone, Now: now})
 	if !ok {
 		return ""
 	}
--- a/internal/core/entry/admit.go
+++ b/internal/core/entry/admit.go
@@ -22,7 +22,7 @@
 // sent elsewhere before is withdrawn first.
 func (e *Entry) admit(r *http.Request, q *relay.Request) (*limit.Account, *failure) {
 	now := time.Now()
-	name := limit.Name{Partner: q.Account.Partner, Account: q.Account.Name}
+	name := limit.AccountName{Partner: q.Account.Partner, Account: q.Account.Name}
 	account := e.limits.Get(name, now)
 	home, rates := e.home(q.Account)
 	ask := func(want limit.Amount) (limit.Amount, bool) { return e.borrow(r.Context(), home, name, rates, want) }
@@ -31,7 +31,7 @@
 		return account, nil
 	}
 	e.counts.limited.Add(1)
-	result := e.relay.Refuse(r.Context(), q, "limit", "the account's limit is reached")
+	result := e.relay.Reject(r.Context(), q, "limit", "the account's limit is reached")
 	e.count(result)
 	f := resultFailure(result)
 	f.status = http.StatusTooManyRequests
@@ -51,7 +51,7 @@
 		if m.Partner != a.Partner || m.State == member.StateDead {
 			continue
 		}
-		rates.Seen++
+		rates.AliveProcesses++
 		hash := xxhash.Sum64String(string(m.Address) + "\x00" + string(a.Name))
 		if m.State == member.StateAlive && (best == "" || hash > bestHash) {
 			best, bestHash = m.Address, hash
@@ -61,7 +61,7 @@
 }
 
 // borrow asks an account's home.
-func (e *Entry) borrow(ctx context.Context, home graniteknot.Address, name limit.Name, r limit.Rates, want limit.Amount) (limit.Amount, bool) {
+func (e *Entry) borrow(ctx context.Context, home graniteknot.Address, name limit.AccountName, r limit.Rates, want limit.Amount) (limit.Amount, bool) {
 	if home == e.node.Config.Listen {
 		return e.lender.Lend(time.Now(), name, r, want), true
 	}
@@ -78,7 +78,7 @@
 
 // lend is the home's part of borrow.
 func (e *Entry) lend(r *wire.LendRequest) *wire.LendReply {
-	name := limit.Name{Partner: graniteknot.Partner(r.GetPartner()), Account: graniteknot.Account(r.GetAccount())}
+	name := limit.AccountName{Partner: graniteknot.Partner(r.GetPartner()), Account: graniteknot.Account(r.GetAccount())}
 	account, ok := e.node.Store.Tree().Account(name.Partner, name.Account)
 	if !ok {
 		return &wire.LendReply{}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -45,7 +45,7 @@
 	e := &Entry{node: n, server: s, routes: newRoutes()}
 	e.budget = &retry.Budget{Percent: func() int64 { return n.Store.Tree().Root().RetryPercent }}
 	e.relay = &relay.Relay{
-		Agents: n.Client, Routes: e.routes, Budget: e.budget, Zone: n.Config.Zone,
+		Agents: n.Client, RouteTables: e.routes, Budget: e.budget, Zone: n.Config.Zone,
 		Timeline: n.Timeline, Counts: &e.chunks, Quarantine: &quarantine.Table{},
 	}
 	s.Router.HandleFunc("/v1/addresses", e.addresses).Methods(http.MethodGet)
--- a/internal/core/entry/prompt.go
+++ b/internal/core/entry/prompt.go
@@ -77,7 +77,7 @@
 	prompt := b.text()
 	tokens := graniteknot.Tokens(len(prompt) / bytesPerToken)
 	q.Cost = tokens + most
-	q.Prefill = time.Duration(tokens) * prefillPerToken
+	q.PrefillTime = time.Duration(tokens) * prefillPerToken
 	q.Prefixes = Prefixes(prompt)
 	return nil
 }
--- a/internal/core/entry/routes.go
+++ b/internal/core/entry/routes.go
@@ -48,11 +48,11 @@
 	defer r.mu.Unlock()
 	t, ok := r.tables[name]
 	if !ok {
-		t = &route.Table{Policy: route.Weighted{}}
+		t = &route.Table{Policy: route.LeastLatency{}}
 		r.tables[name] = t
 	}
 	if old := r.views[name]; old == nil || !sameTargets(old, s) {
-		t.Set(s.Targets, time.Now())
+		t.SetTargets(s.Targets, time.Now())
 		r.views[name] = s
 	}
 	return t
@@ -105,9 +105,9 @@
 
 // report gives a target's load to every table that has the target.
 func (r *routes) report(a graniteknot.Address, l *wire.Load, now time.Time) {
-	load := relay.LoadOf(l)
+	load := relay.LoadFromWire(l)
 	for _, t := range r.all() {
-		t.Report(a, load, now)
+		t.UpdateLoad(a, load, now)
 	}
 }
 
@@ -127,13 +127,13 @@
 	}
 	for _, t := range e.routes.all() {
 		for _, a := range t.Addresses() {
-			t.SetWord(a, e.word(a))
+			t.SetStatus(a, e.word(a))
 		}
 	}
 }
 
-func (e *Entry) word(a graniteknot.Address) route.Word {
-	w := route.Word{Leaving: e.node.BoxLeaving(a)}
+func (e *Entry) word(a graniteknot.Address) route.TargetStatus {
+	w := route.TargetStatus{Leaving: e.node.BoxLeaving(a)}
 	m, ok := e.node.Members.Get(a)
 	if !ok {
 		return w
--- a/internal/core/fleet/backoff_test.go
+++ b/internal/core/fleet/backoff_test.go
@@ -16,7 +16,7 @@
 // arrive with the next request, and the first gateway grants the permits of all limits.
 type gatewayFleet struct {
 	tables  []*fleet.Table
-	granter quota.Home
+	granter quota.Allocator
 	now     time.Time
 	rng     *rand.Rand
 	// arrivals counts the requests at each replica, by ID.
@@ -36,7 +36,7 @@
 		for _, id := range ids {
 			table.Put(replica(catalog.ReplicaID(id)), g.now.Add(-time.Hour))
 		}
-		table.NotifyOutbox(quota.Box(i), func() {})
+		table.NotifyOutbox(quota.BoxHash(i), func() {})
 		g.tables = append(g.tables, table)
 	}
 	return g
@@ -79,7 +79,7 @@
 			rate, limited, known := g.tables[0].LimitOf(request.Key.Life(), g.now)
 			grant := quota.Grant{Key: request.Key}
 			if limited {
-				grant = g.granter.Deal(g.now, request.Key.Life(), rate, "box", request.Want)
+				grant = g.granter.Grant(g.now, request.Key.Life(), rate, "box", request.Want)
 			}
 			grant.Number, grant.Told = request.Number, known
 			from.ApplyGrant(&grant, g.now)
--- a/internal/core/fleet/feedback.go
+++ b/internal/core/fleet/feedback.go
@@ -23,7 +23,7 @@
 	// Leaving reports that the replica will end as planned.
 	Leaving bool
 	// Limit is the limit over all processes together.
-	Limit quota.Word
+	Limit quota.StatedLimit
 	// Answered reports that the replica ran the request, Unlimited that it would have
 	// announced a limit if it had one.
 	Answered, Unlimited bool
@@ -265,7 +265,7 @@
 	case t.backingOff(now):
 		return t.life.backoffUntil
 	case !t.hasPermit(now):
-		return t.life.limit.permits.Next(now)
+		return t.life.limit.permits.NextPermit(now)
 	}
 	return now
 }
--- a/internal/core/fleet/limit.go
+++ b/internal/core/fleet/limit.go
@@ -21,7 +21,7 @@
 	// shedding tells which gateways it refused and asked to back off.
 	shedding sheddingState
 	// permits is this process's share of the limit.
-	permits quota.Part
+	permits quota.Allocation
 }
 
 // sheddingState tracks the gateways that a life asked to back off. A request from a
@@ -29,7 +29,7 @@
 type sheddingState struct {
 	// firstGateway is the first gateway it refused since it last answered any, as
 	// of asOf; multiple reports whether it has refused another one since.
-	firstGateway quota.Box
+	firstGateway quota.BoxHash
 	active       bool
 	multiple     bool
 	asOf         time.Time
@@ -41,11 +41,11 @@
 func (l *limitState) updatePermits() {
 	switch {
 	case l.shedding.multiple:
-		l.permits.Limit(0)
+		l.permits.SetLimit(0)
 	case l.announced:
-		l.permits.Limit(l.rate)
+		l.permits.SetLimit(l.rate)
 	case l.permits.Limited():
-		l.permits.Lift()
+		l.permits.ClearLimit()
 	}
 }
 
@@ -66,26 +66,26 @@
 }
 
 // notices returns the notices for the parts of the feedback that may be new.
-func (f Feedback) notices(x *target, sent time.Time, self quota.Box) []quota.Told {
+func (f Feedback) notices(x *target, sent time.Time, self quota.BoxHash) []quota.Notice {
 	if f == (Feedback{Answered: true, Unlimited: true}) && (x.life == nil || !x.life.limit.binding()) {
 		return nil
 	}
 	key := quota.KeyOf(x.replica.Life())
-	var out []quota.Told
+	var out []quota.Notice
 	switch {
-	case f.Limit.Named:
-		out = append(out, quota.Told{Key: key, Holds: true, Rate: f.Limit.Rate})
+	case f.Limit.Present:
+		out = append(out, quota.Notice{Key: key, Holds: true, Rate: f.Limit.Rate})
 	case f.Unlimited && x.life != nil && sent.After(x.life.limit.asOf):
-		out = append(out, quota.Told{Key: key})
+		out = append(out, quota.Notice{Key: key})
 	}
 	switch {
 	case f.Backoff > 0:
-		out = append(out, quota.Told{Key: key, Subject: quota.SubjectRest, Holds: true, By: self})
+		out = append(out, quota.Notice{Key: key, Subject: quota.SubjectBackoff, Holds: true, By: self})
 	case f.Answered && x.life != nil && sent.After(x.life.limit.shedding.asOf):
-		out = append(out, quota.Told{Key: key, Subject: quota.SubjectRest})
+		out = append(out, quota.Notice{Key: key, Subject: quota.SubjectBackoff})
 	}
 	if f.Leaving {
-		out = append(out, quota.Told{Key: key, Subject: quota.SubjectLeaving, Holds: true})
+		out = append(out, quota.Notice{Key: key, Subject: quota.SubjectLeaving, Holds: true})
 	}
 	return out
 }
@@ -95,13 +95,13 @@
 
 // apply applies a notice unless something newer is known. It returns whether anything
 // changed.
-func (s *lifeState) apply(notice *quota.Told, now time.Time) bool {
+func (s *lifeState) apply(notice *quota.Notice, now time.Time) bool {
 	asOf := now.Add(-time.Duration(notice.Age) * time.Millisecond)
 	s.updated = now
 	switch notice.Subject {
 	case quota.SubjectLimit:
 		return s.limit.applyLimit(notice, asOf)
-	case quota.SubjectRest:
+	case quota.SubjectBackoff:
 		return s.limit.applyBackoff(notice, asOf)
 	case quota.SubjectLeaving:
 		before := s.leaving
@@ -111,7 +111,7 @@
 	return false
 }
 
-func (l *limitState) applyLimit(notice *quota.Told, asOf time.Time) bool {
+func (l *limitState) applyLimit(notice *quota.Notice, asOf time.Time) bool {
 	if !asOf.After(l.asOf) {
 		return false
 	}
@@ -121,7 +121,7 @@
 	return changed
 }
 
-func (l *limitState) applyBackoff(notice *quota.Told, asOf time.Time) bool {
+func (l *limitState) applyBackoff(notice *quota.Notice, asOf time.Time) bool {
 	s := &l.shedding
 	if asOf.Before(s.asOf) {
 		return false
@@ -141,17 +141,17 @@
 }
 
 // notices returns what is known of the life's limit as notices to others.
-func (s *lifeState) notices(l catalog.Life, now time.Time) []quota.Told {
+func (s *lifeState) notices(l catalog.Life, now time.Time) []quota.Notice {
 	key := quota.KeyOf(l)
-	var out []quota.Told
+	var out []quota.Notice
 	if !s.limit.asOf.IsZero() {
-		out = append(out, quota.Told{Key: key, Holds: s.limit.announced, Rate: s.limit.rate, Age: ageMillis(now.Sub(s.limit.asOf))})
+		out = append(out, quota.Notice{Key: key, Holds: s.limit.announced, Rate: s.limit.rate, Age: ageMillis(now.Sub(s.limit.asOf))})
 	}
 	if shedding := &s.limit.shedding; shedding.active {
 		age := ageMillis(now.Sub(shedding.asOf))
-		out = append(out, quota.Told{Key: key, Subject: quota.SubjectRest, Holds: true, By: shedding.firstGateway, Age: age})
+		out = append(out, quota.Notice{Key: key, Subject: quota.SubjectBackoff, Holds: true, By: shedding.firstGateway, Age: age})
 		if shedding.multiple {
-			out = append(out, quota.Told{Key: key, Subject: quota.SubjectRest, Holds: true, By: ^shedding.firstGateway, Age: age})
+			out = append(out, quota.Notice{Key: key, Subject: quota.SubjectBackoff, Holds: true, By: ^shedding.firstGateway, Age: age})
 		}
 	}
 	return out
@@ -161,13 +161,13 @@
 
 // ApplyNotice applies another process's notice about a life unless something newer is
 // known. It returns whether anything changed.
-func (t *Table) ApplyNotice(notice *quota.Told, now time.Time) bool {
+func (t *Table) ApplyNotice(notice *quota.Notice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.applyNotice(notice, now)
 }
 
-func (t *Table) applyNotice(notice *quota.Told, now time.Time) bool {
+func (t *Table) applyNotice(notice *quota.Notice, now time.Time) bool {
 	life := notice.Key.Life()
 	state := t.lives[life]
 	if state == nil && !notice.Holds {
@@ -187,7 +187,7 @@
 
 // LimitOf returns how many requests a second a life takes, whether it is known to be
 // limited, and what is known of it as notices.
-func (t *Table) LimitOf(life catalog.Life, now time.Time) (rate quota.Rate, limited bool, notices []quota.Told) {
+func (t *Table) LimitOf(life catalog.Life, now time.Time) (rate quota.Rate, limited bool, notices []quota.Notice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.lives[life]
@@ -198,10 +198,10 @@
 }
 
 // Limits returns notices for all lives with a known limit or backoff.
-func (t *Table) Limits(now time.Time) []quota.Told {
+func (t *Table) Limits(now time.Time) []quota.Notice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []quota.Told
+	var out []quota.Notice
 	for life, state := range t.lives {
 		if state.limit.binding() {
 			out = append(out, state.notices(life, now)...)
--- a/internal/core/fleet/limit_test.go
+++ b/internal/core/fleet/limit_test.go
@@ -11,7 +11,7 @@
 )
 
 func limitFeedback(rate quota.Rate) fleet.Feedback {
-	return fleet.Feedback{Limit: quota.Word{Named: true, Rate: rate}}
+	return fleet.Feedback{Limit: quota.StatedLimit{Present: true, Rate: rate}}
 }
 
 // TestOnlyLaterResponsesClearLimit has responses overtake one another: one without a limit
@@ -35,10 +35,10 @@
 			t.Error("a response to a request sent before the limit was announced clears it")
 		}
 		life := first.Replica.Life()
-		if table.ApplyNotice(&quota.Told{Key: quota.KeyOf(life), Age: 50}, now.Add(10*time.Millisecond)) {
+		if table.ApplyNotice(&quota.Notice{Key: quota.KeyOf(life), Age: 50}, now.Add(10*time.Millisecond)) {
 			t.Error("an older notice clears it")
 		}
-		if !table.ApplyNotice(&quota.Told{Key: quota.KeyOf(life), Age: 5}, now.Add(10*time.Millisecond)) || len(table.Limits(now)) != 0 {
+		if !table.ApplyNotice(&quota.Notice{Key: quota.KeyOf(life), Age: 5}, now.Add(10*time.Millisecond)) || len(table.Limits(now)) != 0 {
 			t.Error("a newer notice does not clear it")
 		}
 	})
@@ -68,7 +68,7 @@
 	}
 	table.Put(catalog.Replica{ID: "b", Service: "s", Address: "b"}, now)
 	table.Remove("b")
-	if table.ApplyNotice(&quota.Told{Key: quota.KeyOf(catalog.Life{ID: "b"}), Holds: true, Rate: 1}, now); len(table.Limits(now)) != 2 {
+	if table.ApplyNotice(&quota.Notice{Key: quota.KeyOf(catalog.Life{ID: "b"}), Holds: true, Rate: 1}, now); len(table.Limits(now)) != 2 {
 		t.Error("the limit of a life without a record was dropped")
 	}
 }
--- a/internal/core/fleet/limit_use_test.go
+++ b/internal/core/fleet/limit_use_test.go
@@ -41,7 +41,7 @@
 			for g.now.Sub(began) < duration {
 				g.request(func(id string) fleet.Feedback {
 					rate, limited := limits[id]
-					return fleet.Feedback{Answered: true, Unlimited: !limited, Limit: quota.Word{Named: limited, Rate: rate}}
+					return fleet.Feedback{Answered: true, Unlimited: !limited, Limit: quota.StatedLimit{Present: limited, Rate: rate}}
 				})
 			}
 			for id, rate := range limits {
--- a/internal/core/fleet/limited_group_test.go
+++ b/internal/core/fleet/limited_group_test.go
@@ -18,7 +18,7 @@
 	table := newGroupTable(4, fleet.Load{Running: 2, Pass: 30 * time.Millisecond, Forecast: fleet.Forecast{Skew: 2.2, Number: 1}}, now)
 	for i := range limited {
 		life := catalog.Life{ID: catalog.ReplicaID(rune('a' + i))}
-		table.ApplyNotice(&quota.Told{Key: quota.KeyOf(life), Holds: true, Rate: rate}, now)
+		table.ApplyNotice(&quota.Notice{Key: quota.KeyOf(life), Holds: true, Rate: rate}, now)
 	}
 	return table
 }
--- a/internal/core/fleet/limited_service.go
+++ b/internal/core/fleet/limited_service.go
@@ -51,7 +51,7 @@
 		case !x.limited():
 			return 0, false
 		default:
-			perSecond += x.life.limit.permits.PerSecond()
+			perSecond += x.life.limit.permits.PermitsPerSecond()
 			limited = true
 		}
 	}
--- a/internal/core/fleet/outbox.go
+++ b/internal/core/fleet/outbox.go
@@ -10,26 +10,26 @@
 
 // outbox holds the notices and permit requests to send. Guarded by the table's lock.
 type outbox struct {
-	notices []quota.Told
+	notices []quota.Notice
 	// wanted holds the lives to request permits for.
 	wanted map[catalog.Life]struct{}
 	// notify wakes the sender; self is this process's box in notices. Both are set
 	// before use.
 	notify func()
-	self   quota.Box
+	self   quota.BoxHash
 }
 
 // NotifyOutbox sets this process's box in notices, and the function that is called when
 // there is something to send. The function runs with the table's lock held and must not
 // block. Without it nothing is queued, and the table grants its own permits.
-func (t *Table) NotifyOutbox(self quota.Box, notify func()) {
+func (t *Table) NotifyOutbox(self quota.BoxHash, notify func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.outbox.self, t.outbox.notify = self, notify
 }
 
 // queueNotice queues a notice to all processes. The caller holds the lock.
-func (t *Table) queueNotice(notice quota.Told) {
+func (t *Table) queueNotice(notice quota.Notice) {
 	if t.outbox.notify != nil {
 		t.outbox.notices = append(t.outbox.notices, notice)
 		t.outbox.notify()
@@ -38,7 +38,7 @@
 
 // DrainOutbox returns the notices to send to all processes, and the permit requests to
 // send to the processes that grant them.
-func (t *Table) DrainOutbox(now time.Time) (notices []quota.Told, requests []PermitRequest) {
+func (t *Table) DrainOutbox(now time.Time) (notices []quota.Notice, requests []PermitRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	notices, t.outbox.notices = t.outbox.notices, nil
@@ -48,13 +48,13 @@
 			delete(t.outbox.wanted, life)
 			continue
 		}
-		want := state.limit.permits.Due(now)
+		want := state.limit.permits.PermitsNeeded(now)
 		if want <= 0 {
 			continue
 		}
 		delete(t.outbox.wanted, life)
-		request := PermitRequest{Ask: quota.Ask{Key: quota.KeyOf(life), Told: state.notices(life, now), Want: want}}
-		request.Number, request.Unanswered = state.limit.permits.Asked(now)
+		request := PermitRequest{PermitRequest: quota.PermitRequest{Key: quota.KeyOf(life), Told: state.notices(life, now), Want: want}}
+		request.Number, request.Unanswered = state.limit.permits.StartRequest(now)
 		requests = append(requests, request)
 	}
 	return notices, requests
@@ -62,7 +62,7 @@
 
 // PermitRequest is a permit request and how many before it went unanswered.
 type PermitRequest struct {
-	quota.Ask
+	quota.PermitRequest
 
 	Unanswered int
 }
@@ -77,7 +77,7 @@
 	}
 	life := g.Key.Life()
 	state := t.lives[life]
-	if state == nil || !state.limit.permits.Granted(g, now) {
+	if state == nil || !state.limit.permits.ApplyGrant(g, now) {
 		return false
 	}
 	if x := t.targets[life.ID]; x != nil && x.replica.Life() == life {
@@ -95,8 +95,8 @@
 		if !x.limited() || x.excluded(now) {
 			continue
 		}
-		x.life.limit.permits.Want(now)
-		if x.life.limit.permits.Due(now) > 0 {
+		x.life.limit.permits.RecordDemand(now)
+		if x.life.limit.permits.PermitsNeeded(now) > 0 {
 			t.requestPermits(x.replica.Life(), now)
 			due = true
 		}
@@ -111,11 +111,11 @@
 func (t *Table) requestPermits(life catalog.Life, now time.Time) {
 	if t.outbox.notify == nil {
 		permits := &t.lives[life].limit.permits
-		want := permits.Due(now)
-		number, _ := permits.Asked(now)
-		grant := t.localGranter.Deal(now, life, permits.Rate(), "", want)
+		want := permits.PermitsNeeded(now)
+		number, _ := permits.StartRequest(now)
+		grant := t.localGranter.Grant(now, life, permits.Rate(), "", want)
 		grant.Number = number
-		permits.Granted(&grant, now)
+		permits.ApplyGrant(&grant, now)
 		return
 	}
 	if t.outbox.wanted == nil {
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -55,7 +55,7 @@
 	// outbox holds the notices and permit requests to send.
 	outbox outbox
 	// localGranter grants permits if there is no other process to ask.
-	localGranter quota.Home
+	localGranter quota.Allocator
 	// retryTimes is, by service, the last retry time given to a caller that got no
 	// permit.
 	retryTimes map[graniteknot.Service]time.Time
--- a/internal/core/fleet/wait.go
+++ b/internal/core/fleet/wait.go
@@ -55,9 +55,9 @@
 		if x.excluded(q.Now) || !x.limited() {
 			continue
 		}
-		permits += x.life.limit.permits.By(by, q.Now)
+		permits += x.life.limit.permits.AvailableBy(by, q.Now)
 		_, due := t.outbox.wanted[x.replica.Life()]
-		soon = soon || due || x.life.limit.permits.Answers(q.Now)
+		soon = soon || due || x.life.limit.permits.GrantImminent(q.Now)
 	}
 	return q.Now.Before(by) && (permits > before || soon)
 }
--- a/internal/core/forward/codec.go
+++ b/internal/core/forward/codec.go
@@ -35,7 +35,7 @@
 	// Leaving reports that the replica announces a planned shutdown.
 	Leaving bool
 	// RateLimit is what the replica accepts from all processes together.
-	RateLimit quota.Word
+	RateLimit quota.StatedLimit
 }
 
 // Codec encodes requests to replicas and decodes the metadata of their responses.
--- a/internal/core/forward/signals.go
+++ b/internal/core/forward/signals.go
@@ -21,7 +21,7 @@
 	answered := r.metadata.Sealed && !r.metadata.NotRun
 	signals := fleet.Feedback{
 		Backoff: r.metadata.RetryAfter, Leaving: r.metadata.Leaving, Limit: r.metadata.RateLimit,
-		Answered: answered, Unlimited: answered && !r.metadata.RateLimit.Named && !r.metadata.RateLimit.Odd,
+		Answered: answered, Unlimited: answered && !r.metadata.RateLimit.Present && !r.metadata.RateLimit.Invalid,
 	}
 	if l.ApplyFeedback(signals, r.f.Clock.Now()) {
 		r.f.Log.Info("replica said", append(signalAttrs(&r.metadata), slog.String("replica", l.Replica.Life().String()))...)
@@ -33,9 +33,9 @@
 		r.countSignal(l, "leaving")
 	}
 	switch {
-	case r.metadata.RateLimit.Odd:
+	case r.metadata.RateLimit.Invalid:
 		r.countSignal(l, "odd limit")
-	case r.metadata.RateLimit.Named:
+	case r.metadata.RateLimit.Present:
 		r.countSignal(l, "limit")
 	}
 }
@@ -55,10 +55,10 @@
 	if m.Leaving {
 		out = append(out, slog.Bool("leaving", true))
 	}
-	if m.RateLimit.Named {
+	if m.RateLimit.Present {
 		out = append(out, slog.Float64("limit", float64(m.RateLimit.Rate)))
 	}
-	if m.RateLimit.Odd {
+	if m.RateLimit.Invalid {
 		out = append(out, slog.Bool("odd_limit", true))
 	}
 	return out
--- a/internal/core/forward/signals_test.go
+++ b/internal/core/forward/signals_test.go
@@ -19,7 +19,7 @@
 // which counts neither as an attempt nor as a retry.
 func TestReplicaSignalWhileConnecting(t *testing.T) {
 	for name, signal := range map[string]fleet.Feedback{
-		"backoff": {Backoff: time.Minute}, "leaving": {Leaving: true}, "limit": {Limit: quota.Word{Named: true}},
+		"backoff": {Backoff: time.Minute}, "leaving": {Leaving: true}, "limit": {Limit: quota.StatedLimit{Present: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newFixture(t, catalog.KindOnce, platformtest.Answer("first"), platformtest.Answer("second"))
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -66,7 +66,7 @@
 	// Quarantine holds the requests that are not sent to replicas.
 	Quarantine quarantine.Table
 	// Limits grants permits for the rate limits that this gateway owns.
-	Limits quota.Home
+	Limits quota.Allocator
 
 	socket *presence.Socket
 	// discovery learns of other processes from gateways.
@@ -144,7 +144,7 @@
 		RetryBudgets: &forward.RetryBudgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
 	g.Quarantine.OnChange = g.onQuarantineChange
-	g.Fleet.NotifyOutbox(quota.BoxOf(o.Config.Box), g.signalLimits)
+	g.Fleet.NotifyOutbox(quota.HashBox(o.Config.Box), g.signalLimits)
 	return g
 }
 
--- a/internal/core/gateway/limits.go
+++ b/internal/core/gateway/limits.go
@@ -64,7 +64,7 @@
 const maxLimitsPerDatagram = 20
 
 // sendLimitReports sends limit reports to other gateways.
-func (g *Gateway) sendLimitReports(reports []quota.Told, to []graniteknot.Address) {
+func (g *Gateway) sendLimitReports(reports []quota.Notice, to []graniteknot.Address) {
 	for len(reports) > 0 && len(to) > 0 {
 		n := min(maxLimitsPerDatagram, len(reports))
 		g.sendQuota(&quota.Message{Told: reports[:n]}, to)
@@ -90,11 +90,11 @@
 		g.countLimit("graniteknot_limit_asks_total", "unanswered", 1)
 	}
 	if owner == nil {
-		grant := g.grantPermits(&ask.Ask, g.Config.Box, now)
+		grant := g.grantPermits(&ask.PermitRequest, g.Config.Box, now)
 		g.applyGrant(&grant, now)
 		return
 	}
-	g.sendQuota(&quota.Message{Asks: []quota.Ask{ask.Ask}}, []graniteknot.Address{owner.PeerAddress})
+	g.sendQuota(&quota.Message{Asks: []quota.PermitRequest{ask.PermitRequest}}, []graniteknot.Address{owner.PeerAddress})
 }
 
 // limitOwner returns the gateway that owns a limit, or the next candidate after skip others; nil
@@ -126,7 +126,7 @@
 }
 
 // grantPermits answers an ask for permits.
-func (g *Gateway) grantPermits(ask *quota.Ask, box graniteknot.BoxName, now time.Time) quota.Grant {
+func (g *Gateway) grantPermits(ask *quota.PermitRequest, box graniteknot.BoxName, now time.Time) quota.Grant {
 	for i := range ask.Told {
 		g.applyLimitReport(&ask.Told[i], now)
 	}
@@ -134,7 +134,7 @@
 	rate, limited, reports := g.Fleet.LimitOf(life, now)
 	grant := quota.Grant{Key: ask.Key}
 	if limited {
-		grant = g.Limits.Deal(now, life, rate, box, ask.Want)
+		grant = g.Limits.Grant(now, life, rate, box, ask.Want)
 	}
 	grant.Number, grant.Told = ask.Number, reports
 	g.countLimit("graniteknot_limit_permits_total", "dealt", grant.Count)
@@ -156,7 +156,7 @@
 		g.Log.Warn("limits", slog.String("peer", string(m.Box)), slog.String("error", err.Error()))
 		return
 	}
-	var updated []quota.Told
+	var updated []quota.Notice
 	for i := range message.Told {
 		if g.applyLimitReport(&message.Told[i], now) {
 			updated = append(updated, message.Told[i])
@@ -177,7 +177,7 @@
 }
 
 // applyLimitReport applies another gateway's report of a limit, and returns whether it is new.
-func (g *Gateway) applyLimitReport(report *quota.Told, now time.Time) bool {
+func (g *Gateway) applyLimitReport(report *quota.Notice, now time.Time) bool {
 	if !g.Fleet.ApplyNotice(report, now) {
 		return false
 	}
@@ -193,7 +193,7 @@
 		return
 	}
 	now := g.Clock.Now()
-	var owned []quota.Told
+	var owned []quota.Notice
 	for _, report := range g.Fleet.Limits(now) {
 		owner := g.limitOwner(report.Key.Life(), 0, now)
 		if owner != nil && owner.Box == m.Box {
--- a/internal/core/load/doc.go
+++ b/internal/core/load/doc.go
@@ -1,4 +1,4 @@
-// Package load is the load tool: callers of the two partners that ask for
-// addresses, keep the answer for its life, send sheets and notices, and check
-// every answer against what the stand-ins must give for it.
+// Package load generates load. Its callers look up entry addresses, cache them
+// until they expire, send each partner's items, and check every response
+// against what the stand-in engines and services must return for it.
 package load
--- a/internal/core/load/report.go
+++ b/internal/core/load/report.go
@@ -10,88 +10,88 @@
 )
 
 const (
-	lowestLatency  = int64(time.Microsecond)
-	highestLatency = int64(10 * time.Minute)
-	digits         = 3
+	lowestLatency     = int64(time.Microsecond)
+	highestLatency    = int64(10 * time.Minute)
+	significantDigits = 3
 )
 
-// Report counts what callers were told. Make it with NewReport.
+// Report counts the results of calls and the violations of guarantees. Create it with NewReport.
 type Report struct {
 	mu sync.Mutex
-	// Sent is the sum of the outcomes and of Untold.
+	// Sent counts calls that got a response, the others count them by outcome.
 	Sent, Answered, NotRun, Unknown int64
-	// Untold counts calls that ended without a word.
-	Untold int64
-	// Lost counts calls that got neither their answer nor an outcome, after
-	// every try. Doubled counts items that ran more than once. MixedUp counts
-	// answers that were not the caller's own.
-	Lost, Doubled, MixedUp int64
-	// Untrue counts items that ran though their caller was told not-run.
-	Untrue  int64
-	latency *hdrhistogram.Histogram
-	first   *hdrhistogram.Histogram
-	// Codes counts errors by their code.
+	// NoResponse counts calls that failed without a complete response. Sent does not include
+	// them.
+	NoResponse int64
+	// Lost counts items that the model had not answered, or the plain service not run, after
+	// all attempts, and items that never ran though reported answered. Duplicated counts items
+	// that ran more than once. Mismatched counts answers that do not belong to the call.
+	Lost, Duplicated, Mismatched int64
+	// FalseNotRun counts items that ran though reported not-run.
+	FalseNotRun      int64
+	latency          *hdrhistogram.Histogram
+	timeToFirstChunk *hdrhistogram.Histogram
+	// Codes counts errors by code and message.
 	Codes map[string]int64
-	// Example is the first request that ended unknown, for its time line.
-	Example graniteknot.RequestID
+	// FirstUnknown is the first request with outcome unknown, so that its timeline can be shown.
+	FirstUnknown graniteknot.RequestID
 }
 
 // NewReport returns an empty report.
 func NewReport() *Report {
 	return &Report{
-		latency: hdrhistogram.New(lowestLatency, highestLatency, digits),
-		first:   hdrhistogram.New(lowestLatency, highestLatency, digits),
-		Codes:   map[string]int64{},
+		latency:          hdrhistogram.New(lowestLatency, highestLatency, significantDigits),
+		timeToFirstChunk: hdrhistogram.New(lowestLatency, highestLatency, significantDigits),
+		Codes:            map[string]int64{},
 	}
 }
 
-// told counts one answer.
-func (r *Report) told(a *Answer, begun time.Time) {
+// record counts one result.
+func (r *Report) record(result *Result, start time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Sent++
-	if a.Code != "" {
-		r.Codes[a.Code]++
+	if result.Code != "" {
+		r.Codes[result.Code]++
 	}
-	switch a.Outcome {
+	switch result.Outcome {
 	case graniteknot.OutcomeAnswered:
 		r.Answered++
-		_ = r.latency.RecordValue(time.Since(begun).Nanoseconds())
-		_ = r.first.RecordValue(a.First.Sub(begun).Nanoseconds())
+		_ = r.latency.RecordValue(time.Since(start).Nanoseconds())
+		_ = r.timeToFirstChunk.RecordValue(result.FirstChunkAt.Sub(start).Nanoseconds())
 	case graniteknot.OutcomeNotRun:
 		r.NotRun++
 	case graniteknot.OutcomeUnknown:
 		r.Unknown++
-		if r.Example == "" {
-			r.Example = a.ID
+		if r.FirstUnknown == "" {
+			r.FirstUnknown = result.ID
 		}
 	}
 }
 
-func (r *Report) add(counter *int64) {
+func (r *Report) increment(counter *int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	*counter++
 }
 
-// Latency returns a quantile of the whole time of answered calls; q is in
-// percent.
-func (r *Report) Latency(q float64) time.Duration {
+// Latency returns a percentile of the total time of answered calls.
+func (r *Report) Latency(percentile float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.latency.ValueAtQuantile(q))
+	return time.Duration(r.latency.ValueAtQuantile(percentile))
 }
 
-// FirstPiece returns a quantile of the time to the first piece.
-func (r *Report) FirstPiece(q float64) time.Duration {
+// TimeToFirstChunk returns a percentile of the time to the first chunk of answered calls.
+func (r *Report) TimeToFirstChunk(percentile float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Duration(r.first.ValueAtQuantile(q))
+	return time.Duration(r.timeToFirstChunk.ValueAtQuantile(percentile))
 }
 
-// Broken tells whether a promise was broken.
-func (r *Report) Broken() bool {
+// Violated reports whether a guarantee was violated.
+func (r *Report) Violated() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Lost+r.Doubled+r.MixedUp+r.Untrue > 0
+	return r.Lost+r.Duplicated+r.Mismatched+r.FalseNotRun > 0
 }
--- a/internal/core/load/workload.go
+++ b/internal/core/load/workload.go
@@ -16,43 +16,43 @@
 )
 
 const (
-	// maxTries bounds how often a caller sends one item.
-	maxTries = 6
-	// tryPause is the caller's wait before another try.
-	tryPause = 150 * time.Millisecond
-	// callTime bounds one call of a caller.
-	callTime = 30 * time.Second
-	// streamOneIn streams every n-th answer.
-	streamOneIn = 2
+	// maxAttempts bounds the attempts at each of the two calls for an item.
+	maxAttempts = 6
+	// retryDelay is the delay before another attempt.
+	retryDelay = 150 * time.Millisecond
+	// itemTimeout bounds all calls for one item.
+	itemTimeout = 30 * time.Second
+	// streamInterval makes every n-th item request a stream.
+	streamInterval = 2
 )
 
-// Workload is one partner's traffic: items that a model reads and a plain
-// service then enters, each exactly once.
+// Workload is one partner's traffic. Each item is first sent to a model, then
+// submitted to a plain service, which must run it exactly once.
 type Workload struct {
-	Partner graniteknot.Partner
-	Model   graniteknot.Service
-	Plain   graniteknot.Service
-	Callers []*Caller
-	// Rate is items a second; Burst is the rate in every other second, or 0.
+	Partner      graniteknot.Partner
+	ModelService graniteknot.Service
+	PlainService graniteknot.Service
+	Callers      []*Caller
+	// Rate is in items a second. Burst, if not 0, is the rate in every other second.
 	Rate, Burst int
-	// Preambles are the beginnings that prompts share.
-	Preambles []string
-	// Tokens is the length of an answer.
+	// PromptPrefixes are the prefixes that prompts share.
+	PromptPrefixes []string
+	// Tokens is the number of tokens to generate for each item.
 	Tokens int
-	// Seed makes the items the same in every run.
+	// Seed seeds the random choices, so that the items are the same in every run.
 	Seed   uint64
 	Report *Report
 
-	entered []entered
+	submissions []submission
 }
 
-// entered is an item that was sent to the plain service.
-type entered struct {
+// submission is a request to the plain service and its last known outcome.
+type submission struct {
 	body    []byte
 	outcome graniteknot.Outcome
 }
 
-// item is one sheet or notice.
+// item is one unit of work, such as a sheet or a notice.
 type item struct {
 	number int
 	prompt string
@@ -60,30 +60,30 @@
 	stream bool
 }
 
-// Run sends items for a time, and waits for their answers.
+// Run sends items for a time, and waits until all of them are handled.
 func (w *Workload) Run(ctx context.Context, length time.Duration) {
 	random := rand.New(rand.NewPCG(w.Seed, w.Seed))
 	var g group.Group
-	results := make(chan entered)
+	submitted := make(chan submission)
 	var collector group.Group
 	collector.Go(func(context.Context) {
-		for e := range results {
-			w.entered = append(w.entered, e)
+		for s := range submitted {
+			w.submissions = append(w.submissions, s)
 		}
 	})
-	begun := time.Now()
-	for n := 0; time.Since(begun) < length && ctx.Err() == nil; n++ {
+	start := time.Now()
+	for n := 0; time.Since(start) < length && ctx.Err() == nil; n++ {
 		it := w.item(n, random)
-		g.Go(func(context.Context) { w.handle(ctx, it, results) })
-		time.Sleep(w.gap(time.Since(begun), random))
+		g.Go(func(context.Context) { w.handle(ctx, it, submitted) })
+		time.Sleep(w.nextInterval(time.Since(start), random))
 	}
 	g.Wait()
-	close(results)
+	close(submitted)
 	collector.Wait()
 }
 
-// gap is the time to the next item, exponential around the rate in force.
-func (w *Workload) gap(at time.Duration, random *rand.Rand) time.Duration {
+// nextInterval returns the time to the next item, exponentially distributed at the current rate.
+func (w *Workload) nextInterval(at time.Duration, random *rand.Rand) time.Duration {
 	rate := w.Rate
 	if w.Burst > 0 && int(at.Seconds())%2 == 1 {
 		rate = w.Burst
@@ -92,34 +92,34 @@
 }
 
 func (w *Workload) item(n int, random *rand.Rand) item {
-	preamble := w.Preambles[random.IntN(len(w.Preambles))]
+	prefix := w.PromptPrefixes[random.IntN(len(w.PromptPrefixes))]
 	return item{
-		number: n, prompt: fmt.Sprintf("%s item %d %d", preamble, n, random.Uint32()),
-		caller: w.Callers[random.IntN(len(w.Callers))], stream: n%streamOneIn == 0,
+		number: n, prompt: fmt.Sprintf("%s item %d %d", prefix, n, random.Uint32()),
+		caller: w.Callers[random.IntN(len(w.Callers))], stream: n%streamInterval == 0,
 	}
 }
 
-// handle has the model read an item and the plain service enter it.
-func (w *Workload) handle(ctx context.Context, it item, results chan<- entered) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
+// handle sends an item to the model and, once it is answered, to the plain service.
+func (w *Workload) handle(ctx context.Context, it item, submitted chan<- submission) {
+	ctx, cancel := context.WithTimeout(ctx, itemTimeout)
 	defer cancel()
-	if !w.read(ctx, it) {
+	if !w.complete(ctx, it) {
 		return
 	}
-	w.enter(ctx, it, results)
+	w.submit(ctx, it, submitted)
 }
 
-// completionCall is the body of a completion.
-type completionCall struct {
+// completionRequest is the body of a completion request.
+type completionRequest struct {
 	Model     graniteknot.Service `json:"model"`
 	Prompt    string              `json:"prompt"`
 	MaxTokens int                 `json:"max_tokens"`
 	Stream    bool                `json:"stream"`
 }
 
-// read sends a repeatable call until it is answered.
-func (w *Workload) read(ctx context.Context, it item) bool {
-	body, err := json.Marshal(completionCall{Model: w.Model, Prompt: it.prompt, MaxTokens: w.Tokens, Stream: it.stream})
+// complete sends a repeatable call to the model until it is answered, and reports whether it was.
+func (w *Workload) complete(ctx context.Context, it item) bool {
+	body, err := json.Marshal(completionRequest{Model: w.ModelService, Prompt: it.prompt, MaxTokens: w.Tokens, Stream: it.stream})
 	if err != nil {
 		return false
 	}
@@ -127,99 +127,99 @@
 	if err != nil {
 		return false
 	}
-	call := &Call{Service: w.Model, Method: http.MethodPost, Path: "/v1/completions", Body: body, Stream: it.stream}
-	for try := range maxTries {
-		begun := time.Now()
-		answer, err := it.caller.Do(ctx, call, try)
+	call := &Call{Service: w.ModelService, Method: http.MethodPost, Path: "/v1/completions", Body: body, Stream: it.stream}
+	for attempt := range maxAttempts {
+		start := time.Now()
+		result, err := it.caller.Do(ctx, call, attempt)
 		if err != nil {
-			w.Report.add(&w.Report.Untold)
-			it.caller.Forget(w.Model)
-			rest(ctx)
+			w.Report.increment(&w.Report.NoResponse)
+			it.caller.ForgetAddresses(w.ModelService)
+			waitBeforeRetry(ctx)
 			continue
 		}
-		w.Report.told(answer, begun)
-		if answer.Outcome == graniteknot.OutcomeAnswered {
-			if answer.Text != engine.Answer(prompt, tokens) {
-				w.Report.add(&w.Report.MixedUp)
+		w.Report.record(result, start)
+		if result.Outcome == graniteknot.OutcomeAnswered {
+			if result.Text != engine.Answer(prompt, tokens) {
+				w.Report.increment(&w.Report.Mismatched)
 			}
 			return true
 		}
-		rest(ctx)
+		waitBeforeRetry(ctx)
 	}
-	w.Report.add(&w.Report.Lost)
+	w.Report.increment(&w.Report.Lost)
 	return false
 }
 
-// enter sends a call that may not be repeated. After not-run it takes a new
-// key; after unknown it asks again with the same one.
-func (w *Workload) enter(ctx context.Context, it item, results chan<- entered) {
-	path := "/services/" + string(w.Plain) + "/items"
-	begun := time.Now()
-	last := entered{outcome: graniteknot.OutcomeUnknown}
+// submit sends a call that is not repeatable to the plain service. After not-run it
+// retries with a new key, after unknown with the same one.
+func (w *Workload) submit(ctx context.Context, it item, submitted chan<- submission) {
+	path := "/services/" + string(w.PlainService) + "/items"
+	start := time.Now()
+	last := submission{outcome: graniteknot.OutcomeUnknown}
 	key := ""
 	sent := false
-	for try := range maxTries {
+	for attempt := range maxAttempts {
 		if key == "" {
 			var err error
-			if key, err = it.caller.NewKey(ctx, w.Plain); err != nil {
-				rest(ctx)
+			if key, err = it.caller.NewIdempotencyKey(ctx, w.PlainService); err != nil {
+				waitBeforeRetry(ctx)
 				continue
 			}
-			last = entered{body: fmt.Appendf(nil, "%s %d %s", w.Partner, it.number, key)}
+			last = submission{body: fmt.Appendf(nil, "%s %d %s", w.Partner, it.number, key)}
 		}
 		call := &Call{
-			Service: w.Plain, Method: http.MethodPost, Path: path, Body: last.body, IdempotencyKey: key,
+			Service: w.PlainService, Method: http.MethodPost, Path: path, Body: last.body, IdempotencyKey: key,
 		}
-		answer, err := it.caller.Do(ctx, call, try)
+		result, err := it.caller.Do(ctx, call, attempt)
 		sent = true
 		if err != nil {
-			w.Report.add(&w.Report.Untold)
-			rest(ctx)
+			w.Report.increment(&w.Report.NoResponse)
+			waitBeforeRetry(ctx)
 			continue
 		}
-		w.Report.told(answer, begun)
-		last.outcome = answer.Outcome
-		switch answer.Outcome {
+		w.Report.record(result, start)
+		last.outcome = result.Outcome
+		switch result.Outcome {
 		case graniteknot.OutcomeAnswered:
-			if answer.Status == http.StatusOK && answer.Text != plain.Answer(http.MethodPost, "/items", last.body) {
-				w.Report.add(&w.Report.MixedUp)
+			if result.Status == http.StatusOK && result.Text != plain.Answer(http.MethodPost, "/items", last.body) {
+				w.Report.increment(&w.Report.Mismatched)
 			}
-			results <- last
+			submitted <- last
 			return
 		case graniteknot.OutcomeNotRun:
-			results <- last
+			submitted <- last
 			key = ""
-			it.caller.Forget(w.Plain)
+			it.caller.ForgetAddresses(w.PlainService)
 		case graniteknot.OutcomeUnknown:
 		}
-		rest(ctx)
+		waitBeforeRetry(ctx)
 	}
 	if sent && key != "" {
-		results <- last
+		submitted <- last
 	}
 	if last.outcome == graniteknot.OutcomeNotRun {
-		w.Report.add(&w.Report.Lost)
+		w.Report.increment(&w.Report.Lost)
 	}
 }
 
-// Check compares what callers were told with what ran.
+// Check compares the outcomes that callers got with how often each request body ran.
 func (w *Workload) Check(runs func(body []byte) int) {
-	for _, e := range w.entered {
-		n := runs(e.body)
+	for _, s := range w.submissions {
+		n := runs(s.body)
 		switch {
 		case n > 1:
-			w.Report.Doubled++
-		case n > 0 && e.outcome == graniteknot.OutcomeNotRun:
-			w.Report.Untrue++
-		case n == 0 && e.outcome == graniteknot.OutcomeAnswered:
+			w.Report.Duplicated++
+		case n > 0 && s.outcome == graniteknot.OutcomeNotRun:
+			w.Report.FalseNotRun++
+		case n == 0 && s.outcome == graniteknot.OutcomeAnswered:
 			w.Report.Lost++
 		}
 	}
 }
 
-// rest is the caller's wait before another try.
-func rest(ctx context.Context) {
-	timer := time.NewTimer(tryPause)
+// waitBeforeRetry waits for retryDelay or until the context ends.
+func waitBeforeRetry(ctx context.Context) {
+	timer := time.NewTimer(retryDelay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -227,17 +227,16 @@
 	}
 }
 
-// newKey returns a version 7 UUID, which carries its time.
-func newKey() string {
+// newUUIDv7 returns a version 7 UUID, which contains the current time.
+func newUUIDv7() string {
 	const version, variant = 0x7000, 0x8000
 	ms := time.Now().UnixMilli()
 	a, b := rand.Uint64(), rand.Uint64()
 	return fmt.Sprintf("%08x-%04x-%04x-%04x-%012x", ms>>16, ms&0xffff, version|a&0xfff, variant|a>>16&0x3fff, b&0xffffffffffff)
 }
 
-// Preambles returns n beginnings of a size in bytes, for prompts that share
-// them.
-func Preambles(kind string, n, size int) []string {
+// NewPromptPrefixes returns n prefixes of a size in bytes for prompts to share.
+func NewPromptPrefixes(kind string, n, size int) []string {
 	out := make([]string, n)
 	for i := range out {
 		line := fmt.Sprintf("%s instructions, variant %d. ", kind, i)
--- a/internal/core/mapkeeper/loop.go
+++ b/internal/core/mapkeeper/loop.go
@@ -36,7 +36,7 @@
 type Loop struct {
 	Transport   Transport
 	Planner     *planner.Planner
-	Coordinator *expertmap.Keeper
+	Coordinator *expertmap.Coordinator
 	// Placement is the map in force. Set it to the initial one.
 	Placement *planner.Placement
 	// Weights returns the current weights of skew and of moves; nil keeps the planner's.
@@ -84,9 +84,9 @@
 // rank without state.
 func (l *Loop) adoptReplacedRank(ctx context.Context) {
 	l.exchange(l.Coordinator.Tick())
-	if incarnation, replaced := l.Coordinator.Stranger(); replaced {
+	if incarnation, replaced := l.Coordinator.ReplacedRank(); replaced {
 		next := max(incarnation, graniteknot.NewIncarnation(time.Now())) + 1
-		l.runToIdle(ctx, l.Coordinator.Adopt(next))
+		l.runToIdle(ctx, l.Coordinator.Restart(next))
 	}
 }
 
@@ -138,7 +138,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			l.exchange(l.Coordinator.GiveUp())
+			l.exchange(l.Coordinator.Abort())
 		case <-ticker.C:
 			l.exchange(l.Coordinator.Tick())
 		}
--- a/internal/core/node/node.go
+++ b/internal/core/node/node.go
@@ -110,7 +110,7 @@
 func (n *Node) Leave(ctx context.Context) {
 	n.Members.Leave()
 	n.Timeline.Add(timeline.Event{Kind: timeline.KindLeaving})
-	for _, a := range n.Members.Peers(2*pokes, "") {
+	for _, a := range n.Members.RandomPeers(2*pokes, "") {
 		n.sync(ctx, a, false)
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
--- a/internal/core/node/peers.go
+++ b/internal/core/node/peers.go
@@ -31,7 +31,7 @@
 	request := n.Store.Request(now)
 	request.Full = full
 	request.Sender = string(n.Config.Listen)
-	request.Members = toWire(n.Members.News(a, newsLimit))
+	request.Members = toWire(n.Members.Updates(a, newsLimit))
 	request.Clock = uint64(n.Timeline.Clock.Now())
 	reply, err := n.Client.Peer(a).Sync(ctx, request)
 	if err != nil {
@@ -39,7 +39,7 @@
 	}
 	n.Timeline.Clock.Observe(timeline.Stamp(reply.GetClock()))
 	n.Members.Merge(fromWire(reply.GetMembers()), now)
-	n.Members.Heard(a, now)
+	n.Members.MarkHeard(a, now)
 	if _, err := n.Store.Take(reply, now); err != nil {
 		n.counts.refusedSnapshots.Add(1)
 		klog.ErrorS(err, "a peer's settings were not taken", "peer", a)
@@ -52,7 +52,7 @@
 	for _, m := range n.Members.Tick(time.Now()) {
 		n.Timeline.Add(timeline.Event{Kind: timeline.KindSuspect, Detail: string(m.Address) + " is dead"})
 	}
-	a, ok := n.Members.Probe()
+	a, ok := n.Members.NextProbe()
 	if !ok {
 		n.join(ctx)
 		return
@@ -62,14 +62,14 @@
 		return
 	}
 	n.counts.probeFailures.Add(1)
-	n.Members.Unreached(a, time.Now())
+	n.Members.MarkUnreachable(a, time.Now())
 	n.Timeline.Add(timeline.Event{Kind: timeline.KindSuspect, Detail: string(a) + " does not answer"})
 }
 
 func (n *Node) askHelpers(ctx context.Context, a graniteknot.Address) bool {
 	ctx, cancel := context.WithTimeout(ctx, 3*probeTime)
 	defer cancel()
-	for _, helper := range n.Members.Peers(helpers, a) {
+	for _, helper := range n.Members.RandomPeers(helpers, a) {
 		reply, err := n.Client.Peer(helper).Probe(ctx, &wire.ProbeRequest{Address: string(a)})
 		if err == nil && reply.GetAlive() {
 			return true
@@ -80,7 +80,7 @@
 
 // lostStep looks whether a member thought dead is back.
 func (n *Node) lostStep(ctx context.Context) {
-	if a, ok := n.Members.Lost(); ok {
+	if a, ok := n.Members.RandomDead(); ok {
 		n.sync(ctx, a, true)
 	}
 }
--- a/internal/core/node/service.go
+++ b/internal/core/node/service.go
@@ -26,9 +26,9 @@
 
 func (n *Node) newsFor(r *wire.SyncRequest) []member.Member {
 	if r.GetFull() {
-		return n.Members.All()
+		return n.Members.Snapshot()
 	}
-	return n.Members.News(graniteknot.Address(r.GetSender()), newsLimit)
+	return n.Members.Updates(graniteknot.Address(r.GetSender()), newsLimit)
 }
 
 // Probe implements wire.Peer.
@@ -46,7 +46,7 @@
 	reply := &wire.StatusReply{
 		Box: string(self.Box), Role: string(self.Role), Partner: string(self.Partner), Zone: string(self.Zone),
 		Incarnation: uint64(self.Incarnation), SettingsOffset: int64(p.Offset), SettingsDigest: p.Digest,
-		Leaving: self.State == member.StateLeaving, ConfirmedMs: -1, Members: toWire(n.Members.All()),
+		Leaving: self.State == member.StateLeaving, ConfirmedMs: -1, Members: toWire(n.Members.Snapshot()),
 	}
 	if !p.Confirmed.IsZero() {
 		reply.ConfirmedMs = time.Since(p.Confirmed).Milliseconds()
--- a/internal/core/node/settings.go
+++ b/internal/core/node/settings.go
@@ -28,7 +28,7 @@
 	if reads {
 		return
 	}
-	for _, a := range n.Members.Peers(1, "") {
+	for _, a := range n.Members.RandomPeers(1, "") {
 		n.sync(ctx, a, false)
 	}
 }
@@ -60,7 +60,7 @@
 	if err := n.reader.Read(ctx, time.Now); err != nil {
 		n.counts.logFailures.Add(1)
 		klog.V(1).InfoS("the log can't be read", "box", n.Config.Box, "err", err)
-		for _, a := range n.Members.Peers(1, "") {
+		for _, a := range n.Members.RandomPeers(1, "") {
 			n.sync(ctx, a, false)
 		}
 	}
@@ -75,7 +75,7 @@
 			return
 		case <-changed:
 		}
-		for _, a := range n.Members.Peers(pokes, "") {
+		for _, a := range n.Members.RandomPeers(pokes, "") {
 			n.sync(ctx, a, false)
 		}
 	}
--- a/internal/core/procconf/config.go
+++ b/internal/core/procconf/config.go
@@ -40,7 +40,7 @@
 	Boxes graniteknot.Address
 	// Seeds are peers to ask first.
 	Seeds []graniteknot.Address
-	Trust fold.Trust
+	Trust fold.TrustStore
 	// Target, TargetKind and Slots are set for agents.
 	Target     graniteknot.Address
 	TargetKind TargetKind
--- a/internal/core/publish/publish_test.go
+++ b/internal/core/publish/publish_test.go
@@ -22,9 +22,9 @@
 
 const partner = "herbarium"
 
-func newTrust(unsafe bool) (*fold.Trust, ed25519.PrivateKey) {
+func newTrust(unsafe bool) (*fold.TrustStore, ed25519.PrivateKey) {
 	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
-	t := &fold.Trust{NoVersionCheck: unsafe}
+	t := &fold.TrustStore{NoVersionCheck: unsafe}
 	t.Add(partner, key.Public().(ed25519.PublicKey))
 	return t, key
 }
@@ -37,7 +37,7 @@
 
 // result is what it was told; version is of the branch after it.
 type result struct {
-	fate    fold.Fate
+	fate    fold.Status
 	version graniteknot.Offset
 }
 
@@ -50,7 +50,7 @@
 		switch {
 		case in.read:
 			return out.version == now, now
-		case out.fate == fold.FateAccepted:
+		case out.fate == fold.StatusAccepted:
 			return in.against == now, out.version
 		}
 		return in.against != now, now
@@ -60,7 +60,7 @@
 // session is a random run of two operators against one log.
 type session struct {
 	log   *logstore.Store
-	trust *fold.Trust
+	trust *fold.TrustStore
 	key   ed25519.PrivateKey
 
 	mu  sync.Mutex
@@ -86,7 +86,7 @@
 			text := fmt.Sprintf("[partner]\ndeadline = %ds\n", 1+random.IntN(500))
 			answer, _ = p.Publish(ctx, &wire.Change{Id: id, Branch: partner, Against: int64(version), Text: text})
 			cancel()
-			if answer.Fate != fold.FateNone {
+			if answer.Fate != fold.StatusNone {
 				break
 			}
 		}
@@ -98,7 +98,7 @@
 func (s *session) note(id string, op porcupine.Operation, a publish.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if a.Fate == fold.FateNone {
+	if a.Fate == fold.StatusNone {
 		s.open[id] = op
 		return
 	}
@@ -160,8 +160,8 @@
 	}
 	end := time.Now().UnixNano()
 	for id, op := range s.open {
-		if v, ok := fates[id]; ok && v.Fate == fold.FateAccepted {
-			op.Output, op.Return = result{fate: v.Fate, version: v.Offset}, end
+		if v, ok := fates[id]; ok && v.Status == fold.StatusAccepted {
+			op.Output, op.Return = result{fate: v.Status, version: v.Offset}, end
 			s.ops = append(s.ops, op)
 		}
 	}
--- a/internal/core/publish/publisher.go
+++ b/internal/core/publish/publisher.go
@@ -24,7 +24,7 @@
 // Publisher publishes for one partner.
 type Publisher struct {
 	Log     graniteknot.Log
-	Trust   *fold.Trust
+	Trust   *fold.TrustStore
 	Partner graniteknot.Partner
 	Key     ed25519.PrivateKey
 	// Now is time.Now when nil.
@@ -33,7 +33,7 @@
 
 // Answer is what became of a change.
 type Answer struct {
-	Fate fold.Fate
+	Fate fold.Status
 	// Offset is where it was decided; 0 when it was not yet.
 	Offset graniteknot.Offset
 	// Reason tells why it was refused, or what is missing.
@@ -120,11 +120,11 @@
 }
 
 func answer(v fold.Verdict) Answer {
-	a := Answer{Fate: v.Fate, Offset: v.Offset}
+	a := Answer{Fate: v.Status, Offset: v.Offset}
 	if v.Err != nil {
 		a.Reason = v.Err.Error()
 	}
-	if v.Fate == fold.FatePending {
+	if v.Status == fold.StatusPending {
 		a.Reason = "waits for the other partner to publish the same text against the same version"
 	}
 	return a
--- a/internal/core/quota/doc.go
+++ b/internal/core/quota/doc.go
@@ -1,13 +1,13 @@
-// Package quota deals out limits that hold over all processes together. A replica names how
-// many requests a second it takes from all gateways, and each gateway sees only what it
-// sends itself. So one process, the home of the limit, deals out permits: each is for one
-// request, from a time on, and lapses soon after. Who has requests asks; who has none holds
-// nothing back from the others.
+// Package quota enforces rate limits that hold over all processes together. A replica states
+// how many requests a second it takes from all gateways, and each gateway sees only what it
+// sends itself. So one process, the owner of the limit, grants permits: each is for one
+// request, valid from some time on, and expires soon after. Processes with requests ask for
+// permits; those without hold nothing back from the others.
 //
-// The sum holds by construction: a home never deals more than share of the rate, and saves
-// nothing up, so that in any span no more requests come than permits were valid in it. Lost,
-// late and doubled messages waste permits and make none. Two homes at a time, as while
-// processes differ in who lives, deal out twice as much until they agree.
+// The owner never grants more than allocatedShare of the rate and accumulates no unused
+// permits, so in any time window no more requests are sent than permits were valid in it.
+// Lost, late and duplicate messages waste permits and create none. Two owners at a time, while
+// processes disagree on which of them are alive, grant up to twice as much until they agree.
 //
-// The package sends nothing and has no clock: it can be played in virtual time.
+// The package does no I/O and takes the time from its callers, so tests run it in virtual time.
 package quota
--- a/internal/core/quota/error.go
+++ b/internal/core/quota/error.go
@@ -5,12 +5,12 @@
 // Kind classifies errors of this package.
 type Kind uint8
 
-// KindMalformed is a message that no process of this product writes.
+// KindMalformed is a message that can't be encoded or decoded, or holds a value out of range.
 const KindMalformed Kind = iota + 1
 
-var errNumber = errors.New("a number out of range")
+var errOutOfRange = errors.New("number out of range")
 
-// Error is this package's error.
+// Error is an error of this package with the operation that failed.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/internal/core/quota/message.go
+++ b/internal/core/quota/message.go
@@ -9,89 +9,89 @@
 	"graniteknot.org/go/catalog"
 )
 
-// Message is what processes tell each other of limits in one datagram.
+// Message is one datagram about limits between processes.
 type Message struct {
 	_      struct{} `cbor:",toarray"`
-	Told   []Told
-	Asks   []Ask
+	Told   []Notice
+	Asks   []PermitRequest
 	Grants []Grant
 }
 
-// Key is a life in a datagram.
+// Key identifies a replica's life in a datagram.
 type Key struct {
 	_    struct{} `cbor:",toarray"`
 	ID   catalog.ReplicaID
 	Born graniteknot.Born
 }
 
-// KeyOf returns a life as it stands in datagrams.
+// KeyOf returns the key of a life.
 func KeyOf(l catalog.Life) Key { return Key{ID: l.ID, Born: l.Born} }
 
-// Life returns the life.
+// Life returns the life that the key identifies.
 func (k Key) Life() catalog.Life { return catalog.Life{ID: k.ID, Born: k.Born} }
 
-// Subject is what is told of a life.
+// Subject is the kind of a notice.
 type Subject uint8
 
-// The subjects.
+// The subjects of notices.
 const (
-	// SubjectLimit is the limit that it names.
+	// SubjectLimit is the limit that the replica states.
 	SubjectLimit Subject = iota
-	// SubjectRest is that it turned a request away and asked the process for rest, or that it
-	// answered one since.
-	SubjectRest
-	// SubjectLeaving is that it will end as planned.
+	// SubjectBackoff is that the replica rejected a request and asked the process to back off,
+	// or that it answered one since.
+	SubjectBackoff
+	// SubjectLeaving is that the replica will shut down as planned.
 	SubjectLeaving
 )
 
-// Box is a short sum of a box's name.
-type Box uint32
+// BoxHash is a hash of a box's name.
+type BoxHash uint32
 
-// Told is what a life's answers said of it to the process that read them.
-type Told struct {
+// Notice passes on what a process read in the answers of a replica's life.
+type Notice struct {
 	_       struct{} `cbor:",toarray"`
 	Key     Key
 	Subject Subject
-	// Holds tells that it is so, or no more.
+	// Holds reports whether the subject applies now or no longer does.
 	Holds bool
-	// Rate is the limit.
+	// Rate is the limit, for SubjectLimit.
 	Rate Rate
-	// Age is how long ago the last answer said so, in milliseconds.
+	// Age is the time since the last answer that said so, in milliseconds.
 	Age int64
-	// By is the process that was turned away.
-	By Box
+	// By is the box of the process that was asked to back off.
+	By BoxHash
 }
 
-// Ask asks a limit's home for permits.
-type Ask struct {
+// PermitRequest asks a limit's owner for permits.
+type PermitRequest struct {
 	_ struct{} `cbor:",toarray"`
-	// Key is the life, Told what the asking process knows of it.
+	// Key is the life, Told what the requesting process knows of it.
 	Key  Key
-	Told []Told
-	// Number tells the asks of a process apart.
+	Told []Notice
+	// Number identifies a request among those of its process.
 	Number uint64
-	// Want is how many permits it can use soon.
+	// Want is how many permits the process can use soon.
 	Want int
 }
 
-// Grant answers an ask. Times are in milliseconds.
+// Grant answers a PermitRequest. Times are in milliseconds.
 type Grant struct {
 	_      struct{} `cbor:",toarray"`
 	Key    Key
 	Number uint64
-	// Count permits are granted: the first is valid From after the answer, the others Every
-	// after the one before.
+	// Count permits are granted. The first becomes valid From after the grant arrives, each
+	// other one Every after the one before.
 	Count       int
 	From, Every int64
-	// Again is when to ask again where fewer were granted than were wanted.
+	// Again is the time until the next request where fewer were granted than wanted.
 	Again int64
-	// Askers is how many processes ask.
+	// Askers is how many processes asked recently.
 	Askers int
-	// Told is what the home knows of the life.
-	Told []Told
+	// Told is what the owner knows of the life.
+	Told []Notice
 }
 
-// Encode writes a message.
+// Encode encodes a message as CBOR.
 func Encode(m *Message) ([]byte, error) {
 	b, err := cbor.Marshal(m)
 	if err != nil {
@@ -100,35 +100,35 @@
 	return b, nil
 }
 
-// Decode reads a message. One that holds a number which no process sends is refused whole.
+// Decode decodes a message. It rejects the whole message if any value is out of range.
 func Decode(b []byte) (*Message, error) {
 	m := &Message{}
 	if err := cbor.Unmarshal(b, m); err != nil {
 		return nil, &Error{Op: "read message", Kind: KindMalformed, Err: err}
 	}
-	if !m.sound() {
-		return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errNumber}
+	if !m.valid() {
+		return nil, &Error{Op: "read message", Kind: KindMalformed, Err: errOutOfRange}
 	}
 	return m, nil
 }
 
-func (m *Message) sound() bool {
+func (m *Message) valid() bool {
 	for i := range m.Asks {
-		if a := &m.Asks[i]; a.Key.ID == "" || a.Want < 0 || !sound(a.Told) {
+		if a := &m.Asks[i]; a.Key.ID == "" || a.Want < 0 || !validNotices(a.Told) {
 			return false
 		}
 	}
 	for i := range m.Grants {
-		if !m.Grants[i].sound() {
+		if !m.Grants[i].valid() {
 			return false
 		}
 	}
-	return sound(m.Told)
+	return validNotices(m.Told)
 }
 
-func sound(list []Told) bool {
+func validNotices(list []Notice) bool {
 	for i := range list {
-		if !list[i].sound() {
+		if !list[i].valid() {
 			return false
 		}
 	}
@@ -136,18 +136,18 @@
 }
 
 const (
-	// mostRate, mostAge and mostWait bound the numbers of a message, rates in requests a
-	// second and times in milliseconds.
-	mostRate Rate = 1e6
-	mostAge       = int64(24 * time.Hour / time.Millisecond)
-	mostWait      = int64(time.Minute / time.Millisecond)
+	// maxRate, maxAgeMs and maxWaitMs bound the values of a message: rates in requests a
+	// second, times in milliseconds.
+	maxRate   Rate = 1e6
+	maxAgeMs       = int64(24 * time.Hour / time.Millisecond)
+	maxWaitMs      = int64(time.Minute / time.Millisecond)
 )
 
-func (t *Told) sound() bool {
-	return t.Key.ID != "" && t.Subject <= SubjectLeaving && t.Rate >= 0 && t.Rate <= mostRate && t.Age >= 0 && t.Age <= mostAge
+func (t *Notice) valid() bool {
+	return t.Key.ID != "" && t.Subject <= SubjectLeaving && t.Rate >= 0 && t.Rate <= maxRate && t.Age >= 0 && t.Age <= maxAgeMs
 }
 
-func (g *Grant) sound() bool {
-	waits := min(g.From, g.Every, g.Again) >= 0 && max(g.From, g.Every, g.Again) <= mostWait
-	return waits && g.Key.ID != "" && sound(g.Told) && g.Count >= 0 && g.Count <= mostHeld && g.Askers >= 0
+func (g *Grant) valid() bool {
+	delaysValid := min(g.From, g.Every, g.Again) >= 0 && max(g.From, g.Every, g.Again) <= maxWaitMs
+	return delaysValid && g.Key.ID != "" && validNotices(g.Told) && g.Count >= 0 && g.Count <= maxHeld && g.Askers >= 0
 }
--- a/internal/core/quota/rate.go
+++ b/internal/core/quota/rate.go
@@ -6,33 +6,34 @@
 type Rate float64
 
 const (
-	// share is the part of a rate that is dealt out: permits lapse some time after they were
-	// dealt, so those of a little more than a window may be used within it.
-	share Rate = 0.9
-	// leastRate is dealt out however low a limit is: that it has gone shows only in answers.
-	leastRate Rate = 0.2
-	// validLeast and validSome are how long permits are valid: the least, and so much more as
-	// makes some few requests at the rate. A process of many rarely has a request just then.
-	// With two homes for 1.5 s and all permits saved up to the last moment, one and a half
-	// times the rate and five requests more are not passed in any 4 s.
-	validLeast = 900 * time.Millisecond
-	validSome  = 4 * time.Second
-	mostValid  = 10 * time.Second
-	// leastAhead and mostAhead bound how far ahead permits are dealt out.
-	leastAhead = 250 * time.Millisecond
-	mostAhead  = time.Second
+	// allocatedShare is the part of a rate that is granted: a permit stays valid for some time,
+	// so permits granted over slightly more than a window may be used within it.
+	allocatedShare Rate = 0.9
+	// minRate is granted however low a limit is, since only the answer to a request can show
+	// that the limit has ended.
+	minRate Rate = 0.2
+	// minValidity and extraValidity make up how long a permit is valid: the minimum, plus
+	// extraValidity divided by the rate, the time of a few requests. One process of many rarely
+	// has a request just when a permit starts. With two owners for 1.5 s and all permits used at
+	// the last moment, no 4 s see more than one and a half times the rate and five requests more.
+	minValidity   = 900 * time.Millisecond
+	extraValidity = 4 * time.Second
+	maxValidity   = 10 * time.Second
+	// minLookahead and maxLookahead bound how far ahead permits are granted.
+	minLookahead = 250 * time.Millisecond
+	maxLookahead = time.Second
 )
 
-// every returns the time between two permits.
-func (r Rate) every() time.Duration {
-	return time.Duration(float64(time.Second) / float64(max(share*r, leastRate)))
+// interval returns the time between the starts of two permits.
+func (r Rate) interval() time.Duration {
+	return time.Duration(float64(time.Second) / float64(max(allocatedShare*r, minRate)))
 }
 
-// valid returns how long a permit is valid.
-func (r Rate) valid() time.Duration {
-	return min(validLeast+time.Duration(float64(validSome)/float64(max(r, leastRate))), mostValid)
+// validity returns how long a permit is valid.
+func (r Rate) validity() time.Duration {
+	return min(minValidity+time.Duration(float64(extraValidity)/float64(max(r, minRate))), maxValidity)
 }
 
-// ahead returns how far ahead permits are dealt out: a few at a time, so that processes need
-// not ask for each, and so few that hardly any lapse where demand moves.
-func (r Rate) ahead() time.Duration { return min(max(r.every(), leastAhead), mostAhead) }
+// lookahead returns how far ahead permits are granted: a few at a time, so that processes need
+// not ask for each, and so few that hardly any expire where demand moves.
+func (r Rate) lookahead() time.Duration { return min(max(r.interval(), minLookahead), maxLookahead) }
--- a/internal/core/quota/subject.go
+++ b/internal/core/quota/subject.go
@@ -6,10 +6,10 @@
 	graniteknot "graniteknot.org/go"
 )
 
-var subjectWords = [...]string{"limit", "rest", "leaving"}
+var subjectNames = [...]string{"limit", "rest", "leaving"}
 
-// String returns the word used in logs.
-func (s Subject) String() string { return subjectWords[s] }
+// String returns the name used in logs.
+func (s Subject) String() string { return subjectNames[s] }
 
-// BoxOf returns what datagrams call a box.
-func BoxOf(name graniteknot.BoxName) Box { return Box(xxhash.Sum64String(string(name))) }
+// HashBox returns the hash that stands for a box in datagrams.
+func HashBox(name graniteknot.BoxName) BoxHash { return BoxHash(xxhash.Sum64String(string(name))) }
--- a/internal/core/ranks/convert.go
+++ b/internal/core/ranks/convert.go
@@ -11,16 +11,16 @@
 
 func stateToWire(s held.State, working bool) *wire.RankState {
 	return &wire.RankState{
-		Epoch: int64(s.Epoch), Open: s.Open, Step: uint64(s.Step), Mapping: int64(s.Mapping), Prepared: int64(s.Prepared),
+		Epoch: int64(s.Epoch), Open: s.GroupRunning, Step: uint64(s.Step), Mapping: int64(s.Current), Prepared: int64(s.Prepared),
 		Armed: int64(s.Armed), ArmedAt: uint64(s.ArmedAt), Held: uint64(s.Held), Working: working,
 	}
 }
 
 func stateFromWire(s *wire.RankState) held.State {
 	return held.State{
-		Epoch: held.Epoch(s.GetEpoch()), Open: s.GetOpen(), Step: graniteknot.Step(s.GetStep()),
-		Mapping: held.Version(s.GetMapping()), Prepared: held.Version(s.GetPrepared()), Armed: held.Version(s.GetArmed()),
-		ArmedAt: graniteknot.Step(s.GetArmedAt()), Held: graniteknot.Step(s.GetHeld()), Working: s.GetWorking(),
+		Epoch: held.Epoch(s.GetEpoch()), GroupRunning: s.GetOpen(), Step: graniteknot.Step(s.GetStep()),
+		Current: held.Version(s.GetMapping()), Prepared: held.Version(s.GetPrepared()), Armed: held.Version(s.GetArmed()),
+		ArmedAt: graniteknot.Step(s.GetArmedAt()), Held: graniteknot.Step(s.GetHeld()), HasRequests: s.GetWorking(),
 	}
 }
 
@@ -70,7 +70,7 @@
 		return nil
 	}
 	s := planner.Shape{Layers: len(r.GetPlacement()) / (ranks * places), Experts: experts, Ranks: ranks, Slots: places}
-	p := planner.NewDealt(s)
+	p := planner.NewRoundRobin(s)
 	at := 0
 	for l := range s.Layers {
 		for rank := range ranks {
@@ -79,7 +79,7 @@
 				experts[i] = graniteknot.Expert(r.GetPlacement()[at])
 				at++
 			}
-			p.Set(graniteknot.Layer(l), graniteknot.Rank(rank), experts)
+			p.SetExperts(graniteknot.Layer(l), graniteknot.Rank(rank), experts)
 		}
 	}
 	return p
@@ -97,7 +97,7 @@
 	r.Ranks, r.Places = int32(s.Ranks), int32(s.Slots)
 	for l := range s.Layers {
 		for rank := range s.Ranks {
-			for _, e := range c.Placement.Rank(graniteknot.Layer(l), graniteknot.Rank(rank)) {
+			for _, e := range c.Placement.Experts(graniteknot.Layer(l), graniteknot.Rank(rank)) {
 				r.Placement = append(r.Placement, int32(e))
 			}
 		}
--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -108,7 +108,7 @@
 	epoch     held.Epoch
 	// pending is the map being switched to; nil for none.
 	pending *planner.Placement
-	desired held.Wish
+	desired held.CoordinatorState
 	// sequence counts the maps planned by this coordinator.
 	sequence held.Version
 	// preparedAt is when each rank was last sent a prepare order.
@@ -149,7 +149,7 @@
 // NewCoordinator returns a coordinator, which is started with Run.
 func NewCoordinator(config Config) *Coordinator {
 	c := &Coordinator{
-		Config: config, thresholdFixed: config.Planner.Threshold != 0, preparedAt: make([]time.Time, len(config.Members)),
+		Config: config, thresholdFixed: config.Planner.MinMoveGain != 0, preparedAt: make([]time.Time, len(config.Members)),
 		window: newCountWindow(config.Planner.Shape, expertLoadTime(config.Engine.Experts)), countsReady: make(chan struct{}, 1),
 	}
 	for _, m := range config.Members {
@@ -214,7 +214,7 @@
 func (c *Coordinator) round(ctx context.Context) (time.Duration, graniteknot.Position) {
 	now := c.Clock.Now()
 	readCounts := c.aggregator == nil && now.Sub(c.countedAt) >= c.countPeriod() && c.roundInterval(c.phase) > fastInterval
-	if c.aggregator != nil && c.placement != nil && c.phase != held.PhaseClosed {
+	if c.aggregator != nil && c.placement != nil && c.phase != held.PhaseUnavailable {
 		c.aggregator.keepReading(now, c.switching(now))
 	}
 	c.rounds++
@@ -248,9 +248,9 @@
 		c.plan()
 	}
 	c.timing.observe(states[0].Step, now)
-	c.desired.Own, c.desired.Home, c.desired.Lead = c.OwnRank, c.holder(), c.timing.lead()
+	c.desired.OwnRank, c.desired.HoldRank, c.desired.Lead = c.OwnRank, c.holder(), c.timing.lead()
 	decision := held.Decide(states, c.desired)
-	c.desired.Freed = max(c.desired.Freed, decision.Freed)
+	c.desired.ReleasedStep = max(c.desired.ReleasedStep, decision.ReleasedStep)
 	c.enterPhase(decision.Phase)
 	c.publishForecast()
 	if c.statesCurrent = c.sendOrders(ctx, decision.Orders, now) && c.armsNewly(&decision); c.statesCurrent {
@@ -290,7 +290,7 @@
 	}
 	c.Meter.Observe("graniteknot_map_phase_seconds", now.Sub(c.phaseSince), meter.Label{Name: "phase", Value: c.phase.String()})
 	c.Log.Info("switch", slog.String("phase", p.String()), slog.String("former", c.phase.String()),
-		slog.Int64("map", int64(c.desired.Version)), slog.Int64("in_force", int64(c.mapping)), slog.Int64("epoch", int64(c.epoch)),
+		slog.Int64("map", int64(c.desired.NewVersion)), slog.Int64("in_force", int64(c.mapping)), slog.Int64("epoch", int64(c.epoch)),
 		slog.Int64("fence", int64(c.Fence)), eventlog.Milliseconds("former_took", now.Sub(c.phaseSince)))
 	c.phase, c.phaseSince = p, now
 }
--- a/internal/core/ranks/discover_test.go
+++ b/internal/core/ranks/discover_test.go
@@ -22,7 +22,7 @@
 
 // Report implements held.Rank.
 func (r *reportingRank) Report(context.Context) (held.Report, error) {
-	return held.Report{Group: "g", Rank: r.rank, Size: 5, State: held.State{Open: true, Epoch: 1}}, nil
+	return held.Report{Group: "g", Rank: r.rank, GroupSize: 5, State: held.State{GroupRunning: true, Epoch: 1}}, nil
 }
 
 // TestCoordinatorAliveByMajority discovers a group from one of five sidecars that the
--- a/internal/core/ranks/executor.go
+++ b/internal/core/ranks/executor.go
@@ -118,7 +118,7 @@
 	}
 	fence, heardAt := e.Fence()
 	reply := &wire.LookReply{
-		Group: string(report.Group), Rank: int32(report.Rank), Size: int32(report.Size), Target: string(e.Target),
+		Group: string(report.Group), Rank: int32(report.Rank), Size: int32(report.GroupSize), Target: string(e.Target),
 		State: stateToWire(report.State, report.Running+report.Waiting > 0), Pace: report.Pace,
 	}
 	if r.GetFence() == 0 && fence != 0 {
@@ -169,7 +169,7 @@
 	if !validShape(s) {
 		return nil, false
 	}
-	return applyMoves(planner.NewDealt(s), r.GetMoves())
+	return applyMoves(planner.NewRoundRobin(s), r.GetMoves())
 }
 
 // maxSlots bounds the slots of a map that a request describes by its shape.
@@ -212,7 +212,7 @@
 	for {
 		attempts++
 		result, err = orderOnce(ctx, e.Rank, c, attemptTimeout)
-		if result != held.ResultLost || ctx.Err() != nil {
+		if result != held.ResultUnknown || ctx.Err() != nil {
 			return result, attempts, err
 		}
 	}
--- a/internal/core/ranks/fixture_test.go
+++ b/internal/core/ranks/fixture_test.go
@@ -91,7 +91,7 @@
 	return ranks.NewCoordinator(ranks.Config{
 		Fence: fence, OwnRank: own, FormerRank: former, Members: members,
 		Engine:  &catalog.Engine{Experts: f.experts()},
-		Planner: &planner.Planner{Shape: s, Threshold: 0.02, Smoothing: 1},
+		Planner: &planner.Planner{Shape: s, MinMoveGain: 0.02, Smoothing: 1},
 	})
 }
 
--- a/internal/core/ranks/freezable_executor_test.go
+++ b/internal/core/ranks/freezable_executor_test.go
@@ -82,6 +82,6 @@
 	return ranks.NewCoordinator(ranks.Config{
 		Fence: 1, Members: members,
 		Engine:  &catalog.Engine{Experts: &catalog.Experts{Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2}},
-		Planner: &planner.Planner{Shape: s, Threshold: 0.02, Smoothing: 1},
+		Planner: &planner.Planner{Shape: s, MinMoveGain: 0.02, Smoothing: 1},
 	})
 }
--- a/internal/core/ranks/intervals.go
+++ b/internal/core/ranks/intervals.go
@@ -32,7 +32,7 @@
 			return shiftInterval
 		}
 		return planInterval + c.callPause()
-	case held.PhaseClosed:
+	case held.PhaseUnavailable:
 	}
 	return incompleteInterval
 }
@@ -48,7 +48,7 @@
 		return true
 	case held.PhasePreparing:
 		return now.Sub(c.phaseSince) < distributionTime
-	case held.PhaseClosed, held.PhaseIdle, held.PhaseArmed:
+	case held.PhaseUnavailable, held.PhaseIdle, held.PhaseArmed:
 	}
 	return false
 }
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -41,7 +41,7 @@
 		reply, err = m.client.Give(ctx, commandToWire(&full))
 	}
 	if err != nil {
-		return held.ResultLost
+		return held.ResultUnknown
 	}
 	return held.Result(reply.GetResult())
 }
@@ -51,7 +51,7 @@
 func (m *Member) deliverDirect(ctx context.Context, c *held.Command) held.Result {
 	for {
 		result, err := orderOnce(ctx, m.direct, c, directAttemptTimeout)
-		if err == nil && result != held.ResultLost || ctx.Err() != nil {
+		if err == nil && result != held.ResultUnknown || ctx.Err() != nil {
 			return result
 		}
 	}
@@ -63,7 +63,7 @@
 	attempt, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	result, err := rank.Order(attempt, c)
-	if result == held.ResultLost {
+	if result == held.ResultUnknown {
 		<-attempt.Done()
 	}
 	return result, err
@@ -81,7 +81,7 @@
 	case held.ResultDone:
 		m.fenceAccepted = true
 		m.applyDone(c)
-	case held.ResultLost:
+	case held.ResultUnknown:
 	}
 }
 
@@ -97,9 +97,9 @@
 		s.Held = c.Step
 	case held.KindArm:
 		s.Armed, s.ArmedAt = c.Version, c.Step
-	case held.KindGo:
+	case held.KindRelease:
 		if s.Held == c.Step {
-			s.Held = held.Never
+			s.Held = held.NoStep
 		}
 	case held.KindPrepare:
 		return
--- a/internal/core/ranks/order_retry_test.go
+++ b/internal/core/ranks/order_retry_test.go
@@ -24,7 +24,7 @@
 // Order implements held.Rank.
 func (r *refusingRank) Order(context.Context, *held.Command) (held.Result, error) {
 	r.orders++
-	return held.ResultLost, errRefused
+	return held.ResultUnknown, errRefused
 }
 
 // TestFailedOrdersBackOff requires that an order that fails at once is retried a few times,
@@ -35,8 +35,8 @@
 		defer f.stop()
 		rank := &refusingRank{Rank: f.group.Rank(0)}
 		executor := &ranks.Executor{Rank: rank}
-		reply, err := executor.Give(context.Background(), &wire.GiveRequest{Fence: 1, Kind: int32(held.KindGo), Step: 9, Epoch: 1})
-		if err != nil || held.Result(reply.GetResult()) != held.ResultLost {
+		reply, err := executor.Give(context.Background(), &wire.GiveRequest{Fence: 1, Kind: int32(held.KindRelease), Step: 9, Epoch: 1})
+		if err != nil || held.Result(reply.GetResult()) != held.ResultUnknown {
 			t.Errorf("reply %v, error %v; want a lost order", reply, err)
 		}
 		if rank.orders < 2 || rank.orders > 20 {
--- a/internal/core/ranks/orders.go
+++ b/internal/core/ranks/orders.go
@@ -67,10 +67,10 @@
 func (c *Coordinator) recordSteps(o *held.Order) {
 	switch o.Kind {
 	case held.KindHold:
-		c.desired.Hold = o.Step
+		c.desired.HoldStep = o.Step
 	case held.KindArm:
-		c.desired.ArmAt = o.Step
-	case held.KindPrepare, held.KindGo:
+		c.desired.ArmStep = o.Step
+	case held.KindPrepare, held.KindRelease:
 	}
 }
 
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -13,9 +13,9 @@
 // updatePlacement determines the map in force; false when it is not known yet and nothing
 // can be planned.
 func (c *Coordinator) updatePlacement(snapshots []snapshot, states []held.State) bool {
-	newest := states[0].Mapping
+	newest := states[0].Current
 	for _, s := range states {
-		if s.Epoch != states[0].Epoch || s.Mapping != newest {
+		if s.Epoch != states[0].Epoch || s.Current != newest {
 			// The group is forming or switching, which package held resolves.
 			return c.placement != nil
 		}
@@ -24,23 +24,23 @@
 		return true
 	}
 	switch {
-	case c.placement != nil && states[0].Epoch == c.epoch && newest == c.desired.Version && c.pending != nil:
+	case c.placement != nil && states[0].Epoch == c.epoch && newest == c.desired.NewVersion && c.pending != nil:
 		c.placement = c.pending
 		c.Meter.Count("graniteknot_map_switches_total")
 	case newest == 0:
-		c.placement = planner.NewDealt(c.Planner.Shape)
+		c.placement = planner.NewRoundRobin(c.Planner.Shape)
 	case !allListed(snapshots):
-		c.placement, c.pending, c.desired.Version = nil, nil, 0
+		c.placement, c.pending, c.desired.NewVersion = nil, nil, 0
 		return false
 	default:
 		c.placement = c.placementFromLists(snapshots)
 	}
 	if states[0].Epoch != c.epoch {
-		c.desired.Freed = held.Never
+		c.desired.ReleasedStep = held.NoStep
 		c.resetCounts()
 	}
 	c.epoch, c.mapping = states[0].Epoch, newest
-	c.pending, c.desired = nil, held.Wish{Freed: c.desired.Freed}
+	c.pending, c.desired = nil, held.CoordinatorState{ReleasedStep: c.desired.ReleasedStep}
 	clear(c.preparedAt)
 	return true
 }
@@ -66,10 +66,10 @@
 
 // placementFromLists builds the map in force from the experts that ranks reported.
 func (c *Coordinator) placementFromLists(snapshots []snapshot) *planner.Placement {
-	p := planner.NewDealt(c.Planner.Shape)
+	p := planner.NewRoundRobin(c.Planner.Shape)
 	for r := range snapshots {
 		for l, experts := range snapshots[r].lists {
-			p.Set(graniteknot.Layer(l), graniteknot.Rank(r), experts)
+			p.SetExperts(graniteknot.Layer(l), graniteknot.Rank(r), experts)
 		}
 	}
 	return p
@@ -139,14 +139,14 @@
 // loadBudget returns how much one switch may load: for each rank, as many experts as load
 // within switchLoadTime, and at least one. Where a pass takes longer than that, loading for
 // one pass costs no more.
-func (c *Coordinator) loadBudget() planner.Room {
+func (c *Coordinator) loadBudget() planner.LoadLimits {
 	e := c.Engine.Experts
 	perRank := 1
 	if e.Bandwidth > 0 && e.Size > 0 {
 		loadTime := min(max(switchLoadTime, c.timing.passTime), maxSwitchLoadTime)
 		perRank = max(1, int(loadTime.Seconds()*e.Bandwidth/float64(e.Size)))
 	}
-	return planner.Room{PerLayer: e.Spare, PerRank: perRank}
+	return planner.LoadLimits{PerLayer: e.Spare, PerRank: perRank}
 }
 
 // plan chooses the next map if one is worth a switch and none is in progress.
@@ -154,7 +154,7 @@
 	suspect, shifts := c.loadShift()
 	c.planOutdated = c.planOutdated || shifts != c.shifts
 	c.shifts = shifts
-	if suspect || c.placement == nil || c.desired.Version != 0 && !c.canReplacePending() {
+	if suspect || c.placement == nil || c.desired.NewVersion != 0 && !c.canReplacePending() {
 		return
 	}
 	loads, ok := c.recentLoads()
@@ -163,18 +163,18 @@
 	}
 	c.Planner.Observe(loads)
 	if !c.thresholdFixed {
-		c.Planner.SwitchGain = minSwitchGain * float64(c.Engine.Experts.Sets)
-		c.Planner.Threshold = threshold(c.timing.passTime, c.MaxEventGap) * relativeCost(c.Engine.Experts, len(c.Members))
+		c.Planner.MinSwitchGain = minSwitchGain * float64(c.Engine.Experts.Sets)
+		c.Planner.MinMoveGain = threshold(c.timing.passTime, c.MaxEventGap) * relativeCost(c.Engine.Experts, len(c.Members))
 	}
-	c.Planner.Paces = c.paces
-	next := c.Planner.PlanNext(c.placement, c.loadBudget())
+	c.Planner.Slowdowns = c.paces
+	next := c.Planner.PlanSwitch(c.placement, c.loadBudget())
 	if next.Moves+next.Drops == 0 {
 		return
 	}
-	c.replacedPending = c.desired.Version != 0
-	c.pending, c.desired.Version, c.planOutdated = next.Placement, c.version(), false
+	c.replacedPending = c.desired.NewVersion != 0
+	c.pending, c.desired.NewVersion, c.planOutdated = next.Placement, c.version(), false
 	clear(c.preparedAt)
 	c.Meter.Add("graniteknot_experts_loaded_total", next.Moves)
-	c.Log.Info("map planned", slog.Int64("map", int64(c.desired.Version)), slog.Int("moves", next.Moves), slog.Int("drops", next.Drops),
-		slog.Float64("skew_before", next.Before), slog.Float64("skew_after", next.After), slog.Int64("epoch", int64(c.epoch)))
+	c.Log.Info("map planned", slog.Int64("map", int64(c.desired.NewVersion)), slog.Int("moves", next.Moves), slog.Int("drops", next.Drops),
+		slog.Float64("skew_before", next.SkewBefore), slog.Float64("skew_after", next.SkewAfter), slog.Int64("epoch", int64(c.epoch)))
 }
--- a/internal/core/ranks/recent_maps.go
+++ b/internal/core/ranks/recent_maps.go
@@ -77,8 +77,8 @@
 	s := to.Shape
 	for l := range s.Layers {
 		for r := range s.Ranks {
-			before := from.Rank(graniteknot.Layer(l), graniteknot.Rank(r))
-			for i, e := range to.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+			before := from.Experts(graniteknot.Layer(l), graniteknot.Rank(r))
+			for i, e := range to.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
 				if before[i] == e {
 					unchanged++
 					continue
--- a/internal/core/ranks/relay.go
+++ b/internal/core/ranks/relay.go
@@ -97,7 +97,7 @@
 	}
 }
 
-func lostReply() *wire.GiveReply { return &wire.GiveReply{Result: int32(held.ResultLost)} }
+func lostReply() *wire.GiveReply { return &wire.GiveReply{Result: int32(held.ResultUnknown)} }
 
 func replyOrLost(reply *wire.GiveReply, err error) *wire.GiveReply {
 	if err != nil || reply == nil {
--- a/internal/core/ranks/snapshots.go
+++ b/internal/core/ranks/snapshots.go
@@ -71,28 +71,28 @@
 		if graniteknot.Rank(i) == c.FormerRank {
 			continue
 		}
-		if at.IsZero() || c.Clock.Since(at) > maxLookAge || !last.state.Open || last.state.Epoch != c.epoch {
+		if at.IsZero() || c.Clock.Since(at) > maxLookAge || !last.state.GroupRunning || last.state.Epoch != c.epoch {
 			// The map that the counts and the forecast are for may have been dropped.
 			c.resetCounts()
 		}
 		if c.Clock.Since(at) > maxLookAge {
-			c.enterPhase(held.PhaseClosed)
+			c.enterPhase(held.PhaseUnavailable)
 			return incompleteInterval
 		}
 		if !m.acceptsFence() {
-			orders = append(orders, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(i), Step: held.Never, Epoch: last.state.Epoch})
+			orders = append(orders, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(i), Step: held.NoStep, Epoch: last.state.Epoch})
 		}
 	}
 	if c.FormerRank == c.OwnRank {
-		c.enterPhase(held.PhaseClosed)
+		c.enterPhase(held.PhaseUnavailable)
 		return incompleteInterval
 	}
 	if len(orders) > 0 {
 		c.sendOrders(ctx, orders, now)
 		return fastInterval
 	}
-	decision := held.DecideWithout(states, c.FormerRank, c.desired)
-	c.desired.Freed = max(c.desired.Freed, decision.Freed)
+	decision := held.DecideWithMissingRank(states, c.FormerRank, c.desired)
+	c.desired.ReleasedStep = max(c.desired.ReleasedStep, decision.ReleasedStep)
 	c.enterPhase(decision.Phase)
 	c.sendOrders(ctx, decision.Orders, now)
 	return incompleteInterval
@@ -104,7 +104,7 @@
 	var out []held.Order
 	for r, m := range c.Members {
 		if !m.acceptsFence() {
-			out = append(out, held.Order{Kind: held.KindGo, Rank: graniteknot.Rank(r), Step: held.Never, Epoch: states[r].Epoch})
+			out = append(out, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(r), Step: held.NoStep, Epoch: states[r].Epoch})
 		}
 	}
 	return out
--- a/internal/core/ranks/subtree.go
+++ b/internal/core/ranks/subtree.go
@@ -128,7 +128,7 @@
 	relay.calls.Go(func(ctx context.Context) {
 		results := relay.relayOrder(ctx, accepted, c)
 		for i, m := range accepted {
-			if results != nil && results[i] != held.ResultLost {
+			if results != nil && results[i] != held.ResultUnknown {
 				m.recordResult(results[i], c)
 				m.endCall(key)
 				done()
@@ -153,7 +153,7 @@
 	for i, r := range reply.GetReplies() {
 		out[i] = held.Result(r.GetResult())
 		if r.GetUnknownBase() {
-			out[i] = held.ResultLost
+			out[i] = held.ResultUnknown
 		}
 	}
 	return out
--- a/internal/core/ranks/switch_timing.go
+++ b/internal/core/ranks/switch_timing.go
@@ -49,7 +49,7 @@
 			t.longestSwitch = max(now.Sub(t.switchStarted), time.Duration(longestSwitchDecay*float64(t.longestSwitch)))
 			t.switchStarted = time.Time{}
 		}
-	case held.PhaseClosed:
+	case held.PhaseUnavailable:
 		t.switchStarted = time.Time{}
 	case held.PhasePreparing, held.PhaseArming, held.PhaseReleasing:
 	}
--- a/internal/core/relay/attempt.go
+++ b/internal/core/relay/attempt.go
@@ -90,7 +90,7 @@
 func (n *run) learn(a graniteknot.Address, c *wire.Chunk) {
 	n.relay.observe(c.GetClock())
 	if c.GetLoad() != nil {
-		n.table().Report(a, LoadOf(c.GetLoad()), n.relay.now())
+		n.table().UpdateLoad(a, LoadFromWire(c.GetLoad()), n.relay.now())
 	}
 }
 
--- a/internal/core/relay/history_test.go
+++ b/internal/core/relay/history_test.go
@@ -139,10 +139,10 @@
 func newEntries(net *network, p plan) []*relay.Relay {
 	out := make([]*relay.Relay, 2)
 	for i := range out {
-		table := &route.Table{Policy: route.Weighted{}, Rand: rand.New(rand.NewPCG(p.seed, uint64(10+i)))}
-		table.Set(testHosts, time.Now())
+		table := &route.Table{Policy: route.LeastLatency{}, Rand: rand.New(rand.NewPCG(p.seed, uint64(10+i)))}
+		table.SetTargets(testHosts, time.Now())
 		out[i] = &relay.Relay{
-			Agents: net, Routes: entryView{table}, Counts: &stream.Counts{},
+			Agents: net, RouteTables: entryView{table}, Counts: &stream.Counts{},
 			Budget: &retry.Budget{Percent: func() int64 { return 100 }},
 		}
 	}
@@ -206,7 +206,7 @@
 	switch s.mode {
 	case modeTicket:
 		service, _ := s.tree.Service("p", "wire")
-		choice, ok := r.Authority(context.Background(), service, &route.Query{Now: now})
+		choice, ok := r.ChooseAuthority(context.Background(), service, &route.Query{Now: now})
 		if !ok || choice.Incarnation == 0 {
 			return graniteknot.Key(fmt.Sprintf("plain-%d", s.number))
 		}
@@ -228,9 +228,9 @@
 	if death == 0 {
 		return s.tryAt(r)
 	}
-	mortal := &mortalAgents{Agents: r.Agents, dies: time.Now().Add(death)}
+	mortal := &mortalAgents{AgentClient: r.Agents, dies: time.Now().Add(death)}
 	dying := &relay.Relay{
-		Agents: mortal, Routes: r.Routes, Counts: r.Counts, Budget: r.Budget,
+		Agents: mortal, RouteTables: r.RouteTables, Counts: r.Counts, Budget: r.Budget,
 	}
 	x := s.tryAt(dying)
 	if time.Now().After(mortal.dies) {
--- a/internal/core/relay/mortal_test.go
+++ b/internal/core/relay/mortal_test.go
@@ -12,7 +12,7 @@
 // mortalAgents is the network as seen by an entry that dies: from then on
 // nothing of it is sent, and nothing reaches it.
 type mortalAgents struct {
-	relay.Agents
+	relay.AgentClient
 	dies time.Time
 }
 
@@ -24,7 +24,7 @@
 		return nil, errLost
 	}
 	ctx, cancel := context.WithDeadline(ctx, m.dies)
-	reader, err := m.Agents.Dispatch(ctx, a, d)
+	reader, err := m.AgentClient.Dispatch(ctx, a, d)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -39,7 +39,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, m.dies)
 	defer cancel()
-	return m.Agents.Withdraw(ctx, a, r)
+	return m.AgentClient.Withdraw(ctx, a, r)
 }
 
 // Report implements relay.Agents.
@@ -47,7 +47,7 @@
 	if m.dead() {
 		return nil, errLost
 	}
-	return m.Agents.Report(ctx, a)
+	return m.AgentClient.Report(ctx, a)
 }
 
 // mortalReader is a stream that the entry's death ends.
--- a/internal/core/relay/once.go
+++ b/internal/core/relay/once.go
@@ -78,7 +78,7 @@
 		address, ok := homeOf(q)
 		return authority{address: address, key: q.Key, keyTime: q.KeyTime}, ok
 	}
-	choice, ok := n.relay.Authority(ctx, q.Service, n.query())
+	choice, ok := n.relay.ChooseAuthority(ctx, q.Service, n.query())
 	if !ok {
 		return authority{}, false
 	}
--- a/internal/core/relay/overload_test.go
+++ b/internal/core/relay/overload_test.go
@@ -49,9 +49,9 @@
 		for _, h := range net.hosts {
 			h.agent.Queue.Slots = s.slots
 		}
-		table := &route.Table{Policy: route.Weighted{}, Rand: rand.New(rand.NewPCG(1, 2))}
-		table.Set(hosts, time.Now())
-		r := &relay.Relay{Agents: net, Routes: entryView{table}, Budget: s.budget}
+		table := &route.Table{Policy: route.LeastLatency{}, Rand: rand.New(rand.NewPCG(1, 2))}
+		table.SetTargets(hosts, time.Now())
+		r := &relay.Relay{Agents: net, RouteTables: entryView{table}, Budget: s.budget}
 		account, _ := tree.AccountByKey("desk")
 		service, _ := tree.Service("p", "wire")
 		random := rand.New(rand.NewPCG(3, 4))
--- a/internal/core/relay/quarantined_test.go
+++ b/internal/core/relay/quarantined_test.go
@@ -67,10 +67,10 @@
 		for a, h := range net.hosts {
 			h.agent.Target = &mortal{fakeTarget: &fakeTarget{network: net, address: a}}
 		}
-		table := &route.Table{Policy: route.Weighted{}, Rand: rand.New(rand.NewPCG(1, 2))}
-		table.Set(hosts, time.Now())
+		table := &route.Table{Policy: route.LeastLatency{}, Rand: rand.New(rand.NewPCG(1, 2))}
+		table.SetTargets(hosts, time.Now())
 		budget := &retry.Budget{Unlimited: true}
-		r := &relay.Relay{Agents: net, Routes: entryView{table}, Budget: budget, Quarantine: &quarantine.Table{}}
+		r := &relay.Relay{Agents: net, RouteTables: entryView{table}, Budget: budget, Quarantine: &quarantine.Table{}}
 		account, _ := tree.AccountByKey("desk")
 		service, _ := tree.Service("p", "wire")
 		ask := func(id, body string) relay.Result {
--- a/internal/core/relay/relay.go
+++ b/internal/core/relay/relay.go
@@ -30,18 +30,18 @@
 	reportTime = 500 * time.Millisecond
 )
 
-// Routes finds what is known of a service's targets.
-type Routes interface {
+// RouteTables finds what is known of a service's targets.
+type RouteTables interface {
 	Table(s *settings.ServiceView) *route.Table
 }
 
 // Relay takes requests to their outcomes. Set the exported fields; Timeline
 // and Counts may be nil.
 type Relay struct {
-	Agents Agents
-	Routes Routes
-	Budget *retry.Budget
-	Zone   graniteknot.AvailabilityZone
+	Agents      AgentClient
+	RouteTables RouteTables
+	Budget      *retry.Budget
+	Zone        graniteknot.AvailabilityZone
 	// Quarantine knows which requests end targets; nil for none.
 	Quarantine *quarantine.Table
 	Timeline   *timeline.Recorder
@@ -81,11 +81,11 @@
 	return result
 }
 
-// Authority chooses an agent to decide on requests that may not be repeated,
+// ChooseAuthority chooses an agent to decide on requests that may not be repeated,
 // and learns its incarnation first if no report has told it yet: a new agent
 // can't tell a new key from one that its former life may have run.
-func (r *Relay) Authority(ctx context.Context, s *settings.ServiceView, q *route.Query) (route.Choice, bool) {
-	table := r.Routes.Table(s)
+func (r *Relay) ChooseAuthority(ctx context.Context, s *settings.ServiceView, q *route.Query) (route.Choice, bool) {
+	table := r.RouteTables.Table(s)
 	choice, ok := table.Choose(q)
 	if !ok || choice.Incarnation != 0 {
 		return choice, ok
@@ -94,16 +94,16 @@
 	defer cancel()
 	load, err := r.Agents.Report(ctx, choice.Address)
 	if err == nil {
-		table.Report(choice.Address, LoadOf(load), r.now())
+		table.UpdateLoad(choice.Address, LoadFromWire(load), r.now())
 		choice.Incarnation = graniteknot.Incarnation(load.GetIncarnation())
 	}
 	return choice, true
 }
 
-// Refuse ends a request that the entry itself turns away. A key that the
+// Reject ends a request that the entry itself turns away. A key that the
 // caller may have sent elsewhere before is withdrawn at its authority first,
 // so that "not-run" is true of all its tries.
-func (r *Relay) Refuse(ctx context.Context, request *Request, code Code, reason string) Result {
+func (r *Relay) Reject(ctx context.Context, request *Request, code Code, reason string) Result {
 	run := &run{relay: r, request: request}
 	if request.Repeatable || request.Key == "" {
 		return run.result(graniteknot.OutcomeNotRun, code, reason)
@@ -136,8 +136,8 @@
 	}
 }
 
-// LoadOf reads the load in a message.
-func LoadOf(l *wire.Load) route.Load {
+// LoadFromWire reads the load in a message.
+func LoadFromWire(l *wire.Load) route.Load {
 	return route.Load{
 		Incarnation: graniteknot.Incarnation(l.GetIncarnation()),
 		Queued:      int(l.GetQueued()),
--- a/internal/core/relay/repeatable.go
+++ b/internal/core/relay/repeatable.go
@@ -22,7 +22,7 @@
 		if n.attempt > 0 && !n.mayRetry(last) {
 			break
 		}
-		choice, ok := n.relay.Authority(ctx, n.request.Service, n.query())
+		choice, ok := n.relay.ChooseAuthority(ctx, n.request.Service, n.query())
 		if !ok {
 			break
 		}
--- a/internal/core/relay/request.go
+++ b/internal/core/relay/request.go
@@ -36,8 +36,8 @@
 	Cost graniteknot.Tokens
 	// Prefixes are hashes of the prompt's prefixes, shortest first.
 	Prefixes []uint64
-	// Prefill is the estimated time to read the prompt without a cache.
-	Prefill time.Duration
+	// PrefillTime is the estimated time to read the prompt without a cache.
+	PrefillTime time.Duration
 }
 
 // plain tells whether the request is for a plain service.
@@ -82,8 +82,8 @@
 	Close()
 }
 
-// Agents reaches the agents.
-type Agents interface {
+// AgentClient reaches the agents.
+type AgentClient interface {
 	// Dispatch sends an attempt. An error that wraps
 	// graniteknot.ErrNotHandedOver proves that the agent never got it.
 	Dispatch(ctx context.Context, a graniteknot.Address, d *wire.Dispatch) (ChunkReader, error)
--- a/internal/core/relay/run.go
+++ b/internal/core/relay/run.go
@@ -50,11 +50,11 @@
 	n.relay.Timeline.Add(timeline.Event{Kind: kind, Request: n.request.ID, Attempt: n.attempt, Detail: detail})
 }
 
-func (n *run) table() *route.Table { return n.relay.Routes.Table(n.request.Service) }
+func (n *run) table() *route.Table { return n.relay.RouteTables.Table(n.request.Service) }
 
 func (n *run) query() *route.Query {
 	return &route.Query{
-		Prefixes: n.request.Prefixes, Prefill: n.request.Prefill,
+		Prefixes: n.request.Prefixes, PrefillTime: n.request.PrefillTime,
 		Zone: n.relay.Zone, Tried: n.tried, Now: n.relay.now(),
 	}
 }
--- a/internal/core/serve/agent.go
+++ b/internal/core/serve/agent.go
@@ -44,7 +44,7 @@
 	// keptBytes is the size of the answers in kept.
 	keptBytes graniteknot.Bytes
 	// lowered holds the accounts whose limit was lowered under queued work.
-	lowered map[limit.Name]*limit.Bucket
+	lowered map[limit.AccountName]*limit.Bucket
 
 	reported atomic.Pointer[graniteknot.TargetLoad]
 }
--- a/internal/core/serve/claims.go
+++ b/internal/core/serve/claims.go
@@ -17,13 +17,13 @@
 		Incarnation: graniteknot.Incarnation(c.GetIncarnation()),
 		Try:         c.GetTry(),
 		Repeatable:  c.GetRepeatable(),
-		Body:        c.GetBodyDigest(),
+		BodyDigest:  c.GetBodyDigest(),
 	}
 	if c.GetKeyTimeMs() != 0 {
 		r.KeyTime = time.UnixMilli(c.GetKeyTimeMs())
 	}
 	if c.GetUntilMs() != 0 {
-		r.Until = time.UnixMilli(c.GetUntilMs())
+		r.Deadline = time.UnixMilli(c.GetUntilMs())
 	}
 	return r
 }
--- a/internal/core/serve/lowered.go
+++ b/internal/core/serve/lowered.go
@@ -16,7 +16,7 @@
 // reason for the rest is not empty. New work is held by the entries.
 func (a *Agent) overLowered(d *wire.Dispatch) string {
 	c := d.GetClaim()
-	name := limit.Name{Partner: graniteknot.Partner(c.GetPartner()), Account: graniteknot.Account(c.GetAccount())}
+	name := limit.AccountName{Partner: graniteknot.Partner(c.GetPartner()), Account: graniteknot.Account(c.GetAccount())}
 	tree := a.Tree()
 	account, ok := tree.Account(name.Partner, name.Account)
 	service, known := tree.Service(name.Partner, graniteknot.Service(c.GetService()))
@@ -30,7 +30,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.lowered == nil || len(a.lowered) >= maxLowered {
-		a.lowered = map[limit.Name]*limit.Bucket{}
+		a.lowered = map[limit.AccountName]*limit.Bucket{}
 	}
 	bucket, ok := a.lowered[name]
 	if !ok {
--- a/internal/core/sidecar/digest_test.go
+++ b/internal/core/sidecar/digest_test.go
@@ -22,7 +22,7 @@
 type closedRank struct{ held.Rank }
 
 func (closedRank) Report(context.Context) (held.Report, error) {
-	return held.Report{Group: "g", Size: 4}, nil
+	return held.Report{Group: "g", GroupSize: 4}, nil
 }
 
 // livingRank is one of which the test says which life answers, and whether it runs.
@@ -41,7 +41,7 @@
 func (r *livingRank) Report(context.Context) (held.Report, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return held.Report{Group: "g", Size: 4, Born: r.born, State: held.State{Open: r.open}}, nil
+	return held.Report{Group: "g", GroupSize: 4, StartTime: r.born, State: held.State{GroupRunning: r.open}}, nil
 }
 
 func (r *livingRank) ID(context.Context) (catalog.ReplicaID, time.Duration, error) {
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -42,7 +42,7 @@
 		delay.For(ctx, keepLook)
 		now := s.Clock.Now()
 		report, age := s.last(now)
-		if report.Group == "" || age > reportAge || !report.State.Open {
+		if report.Group == "" || age > reportAge || !report.State.GroupRunning {
 			opened = time.Time{}
 			continue
 		}
@@ -105,7 +105,7 @@
 		return
 	}
 	shape := planner.Shape{
-		Layers: engine.Experts.Sets, Experts: engine.Experts.Experts, Ranks: report.Size, Slots: engine.Experts.Places,
+		Layers: engine.Experts.Sets, Experts: engine.Experts.Experts, Ranks: report.GroupSize, Slots: engine.Experts.Places,
 	}
 	k := ranks.NewCoordinator(ranks.Config{
 		Fence: ranks.FenceOf(at), OwnRank: report.Rank, FormerRank: former, Engine: engine, MaxEventGap: gap, Log: s.Log, Meter: s.Meter, Members: found.Members,
@@ -114,7 +114,7 @@
 		OnForecast: s.takeForecast,
 		Planner:    &planner.Planner{Shape: shape, Smoothing: 1},
 	})
-	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(ranks.FenceOf(at))), slog.Int("ranks", report.Size))
+	s.Log.Info("keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(ranks.FenceOf(at))), slog.Int("ranks", report.GroupSize))
 	fenced := k.Run(ctx)
 	s.takeForecast(ranks.Forecast{})
 	s.Log.Info("not keeping", slog.String("group", string(report.Group)), slog.Int64("fence", int64(ranks.FenceOf(at))), slog.Int64("other", int64(fenced)))
@@ -169,5 +169,5 @@
 	for _, m := range s.Members.Members(presence.RoleSidecar, s.Config.Box) {
 		places = append(places, ranks.Endpoint{Sidecar: m.PeerAddress, Target: m.Target, Zone: m.Zone})
 	}
-	return ranks.Discover(ctx, report.Group, report.Size, former, keeperSilence, places, s.socket, s.Rank)
+	return ranks.Discover(ctx, report.Group, report.GroupSize, former, keeperSilence, places, s.socket, s.Rank)
 }
--- a/internal/core/sidecar/life.go
+++ b/internal/core/sidecar/life.go
@@ -36,7 +36,7 @@
 // broken or the pass has gone back: a rank that ends breaks its group.
 func (w *lifeWatch) see(ctx context.Context, s *Sidecar, report *held.Report, now time.Time) catalog.Mark {
 	state, last := report.State, w.last.State
-	if report.Born != w.last.Born || state.Step < last.Step || !state.Open && last.Open {
+	if report.StartTime != w.last.StartTime || state.Step < last.Step || !state.GroupRunning && last.GroupRunning {
 		w.forget()
 	}
 	w.last = *report
@@ -50,7 +50,7 @@
 		s.Log.Info("target life", slog.String("error", err.Error()), eventlog.Milliseconds("rest_asked", rest))
 		return 0
 	}
-	life := catalog.Life{ID: id, Born: report.Born}
+	life := catalog.Life{ID: id, Born: report.StartTime}
 	w.mark = life.Mark()
 	s.Log.Info("target life", slog.String("replica", life.String()))
 	return w.mark
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -183,9 +183,9 @@
 		life := lives.see(ctx, s, &report, s.Clock.Now())
 		s.note(&report)
 		to := s.gateways()
-		news = news || report.State.Open != open
+		news = news || report.State.GroupRunning != open
 		if news || due(told, s.period(len(to)), s.Clock.Now()) {
-			told, open = s.Clock.Now(), report.State.Open
+			told, open = s.Clock.Now(), report.State.GroupRunning
 			s.tell(&report, life, to)
 		}
 	}
@@ -228,7 +228,7 @@
 	s.told = f.Skew
 	s.mu.Unlock()
 	s.socket.Send(presence.Message{Load: &presence.LoadReport{
-		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Pace: float32(r.Pace), GroupOpen: r.Group == "" || r.State.Open, PassMicros: pass.Microseconds(),
+		Target: s.Config.Target, Running: r.Running, Waiting: r.Waiting, Pace: float32(r.Pace), GroupOpen: r.Group == "" || r.State.GroupRunning, PassMicros: pass.Microseconds(),
 		Skew: float32(f.Skew), Loading: f.Loading, ForecastSequence: f.Sequence, LifeMark: life,
 	}}, to)
 }
--- a/internal/core/spread/store.go
+++ b/internal/core/spread/store.go
@@ -27,7 +27,7 @@
 	// Watch is called, with the store locked, for every verdict; it may be nil.
 	Watch func(fold.Verdict)
 
-	trust *fold.Trust
+	trust *fold.TrustStore
 	tree  atomic.Pointer[settings.Tree]
 
 	mu    sync.Mutex
@@ -43,8 +43,8 @@
 }
 
 // New returns the store of a process that knows nothing yet.
-func New(trust *fold.Trust) *Store {
-	s := &Store{trust: trust, state: fold.New(trust), changed: make(chan struct{})}
+func New(trust *fold.TrustStore) *Store {
+	s := &Store{trust: trust, state: fold.NewState(trust), changed: make(chan struct{})}
 	s.tree.Store(s.state.Tree())
 	return s
 }
@@ -145,11 +145,11 @@
 }
 
 func (s *Store) note(v fold.Verdict) {
-	if v.Fate == fold.FateNone {
+	if v.Status == fold.StatusNone {
 		return
 	}
-	kind, detail := timeline.KindSettings, v.Branch+" "+v.Fate.String()+" id="+v.ID
-	if v.Fate == fold.FateRefused {
+	kind, detail := timeline.KindSettings, v.Branch+" "+v.Status.String()+" id="+v.ID
+	if v.Status == fold.StatusRefused {
 		kind, detail = timeline.KindRejected, v.Branch+" id="+v.ID+" "+v.Err.Error()
 		s.refusals = append(s.refusals, v)
 		s.refusals = s.refusals[max(0, len(s.refusals)-keepRefusals):]
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -19,11 +19,11 @@
 		Package: "expertmap", Test: "TestEveryInterleaving", Says: "ran with maps",
 	},
 	{
-		Name: "a rank listens to former keepers", File: "expertmap/rank.go", Old: "if m.Keeper < r.keeper {", New: "if false {",
+		Name: "a rank listens to former keepers", File: "expertmap/rank.go", Old: "if m.Coordinator < r.keeper {", New: "if false {",
 		Package: "expertmap", Test: "TestFormerKeepersCommands", Says: "ran with maps",
 	},
 	{
-		Name: "a new life of a rank listens to its former life's keepers", File: "expertmap/rank.go", Old: "if m.Keeper <= r.Born {", New: "if false {",
+		Name: "a new life of a rank listens to its former life's keepers", File: "expertmap/rank.go", Old: "if m.Coordinator <= r.Incarnation {", New: "if false {",
 		Package: "expertmap", Test: "TestFormerLifesMessages",
 	},
 	{
@@ -145,18 +145,18 @@
 		Package: "internal/core/fleet", Test: "TestLimitBelongsToLife", Says: "the next life is not chosen",
 	},
 	{
-		Name: "boxes that have ended keep their parts", File: "internal/core/quota/home.go",
-		Old: "case age <= askerTime:", New: "default:",
-		Package: "internal/core/quota", Test: "TestEndedBoxesDoNotCount",
+		Name: "inactive boxes keep their share of a limit", File: "internal/core/quota/allocator.go",
+		Old: "case age <= activeTime:", New: "default:",
+		Package: "internal/core/quota", Test: "TestInactiveBoxesDoNotCount",
 	},
 	{
-		Name: "a home saves permits up", File: "internal/core/quota/home.go",
-		Old: "d.next = latest(now, earliest(d.next, now.Add(ahead+every)))", New: "d.next = earliest(d.next, now.Add(ahead+every))",
-		Package: "internal/core/quota", Test: "TestHomeSavesNothingUp",
+		Name: "an allocator accumulates unused permits", File: "internal/core/quota/allocator.go",
+		Old: "s.nextPermit = latest(now, earliest(s.nextPermit, now.Add(lookahead+interval)))", New: "s.nextPermit = earliest(s.nextPermit, now.Add(lookahead+interval))",
+		Package: "internal/core/quota", Test: "TestAllocatorAccumulatesNoPermits",
 	},
 	{
-		Name: "grants that come twice count twice", File: "internal/core/quota/part.go",
-		Old: "if !p.limited || p.asked.IsZero() || g.Number != p.number || !p.waits(now) {", New: "if !p.limited {",
+		Name: "duplicate grants count twice", File: "internal/core/quota/allocation.go",
+		Old: "if !a.limited || a.requestedAt.IsZero() || g.Number != a.requestNumber || !a.awaitingGrant(now) {", New: "if !a.limited {",
 		Package: "internal/core/quota", Test: "TestGrantsCountOnce",
 	},
 	{
--- a/internal/standin/obeying/group.go
+++ b/internal/standin/obeying/group.go
@@ -67,9 +67,9 @@
 
 // open forms the group; called before use or with the lock held.
 func (g *Group) open() {
-	dealt := planner.NewDealt(g.Shape)
+	dealt := planner.NewRoundRobin(g.Shape)
 	for _, r := range g.ranks {
-		r.state = held.State{Epoch: g.epoch, Open: true, Step: g.step}
+		r.state = held.State{Epoch: g.epoch, GroupRunning: true, Step: g.step}
 		r.now, r.prepared = lists(dealt, r.number), nil
 		r.highest = 0
 	}
@@ -141,7 +141,7 @@
 		r.begin(next)
 	}
 	for _, r := range g.ranks {
-		if r.state.Mapping != g.ranks[0].state.Mapping {
+		if r.state.Current != g.ranks[0].state.Current {
 			g.apart++
 			return
 		}
@@ -152,7 +152,7 @@
 	s := &r.state
 	s.Step = step
 	if s.Armed != 0 && s.ArmedAt == step {
-		s.Mapping, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
+		s.Current, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
 		r.now, r.prepared = r.prepared, nil
 	}
 	at := 0
@@ -186,13 +186,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := Shown{Apart: g.apart, Longest: g.longest, Step: g.step}
-	p := planner.NewDealt(g.Shape)
+	p := planner.NewRoundRobin(g.Shape)
 	for _, r := range g.ranks {
-		out.Mappings = append(out.Mappings, r.state.Mapping)
-		out.Held = out.Held || r.state.Held != held.Never
+		out.Mappings = append(out.Mappings, r.state.Current)
+		out.Held = out.Held || r.state.Held != held.NoStep
 		held := 0
 		for l, experts := range r.now {
-			p.Set(graniteknot.Layer(l), r.number, experts)
+			p.SetExperts(graniteknot.Layer(l), r.number, experts)
 			held += len(experts)
 		}
 		out.Experts = append(out.Experts, held)
--- a/internal/standin/obeying/rank.go
+++ b/internal/standin/obeying/rank.go
@@ -20,7 +20,7 @@
 	if r.deaf {
 		return held.Report{}, errDeaf
 	}
-	return held.Report{Group: "g", Rank: r.number, Size: len(r.group.ranks), State: r.state, Running: 1, Pace: r.pace}, nil
+	return held.Report{Group: "g", Rank: r.number, GroupSize: len(r.group.ranks), State: r.state, Running: 1, Pace: r.pace}, nil
 }
 
 // Counts implements held.Rank.
@@ -50,7 +50,7 @@
 	g.mu.Unlock()
 	if deaf {
 		<-ctx.Done()
-		return held.ResultLost, errDeaf
+		return held.ResultUnknown, errDeaf
 	}
 	if late {
 		g.wait.Go(func(context.Context) {
@@ -58,7 +58,7 @@
 			_, _ = r.obey(c)
 		})
 		<-ctx.Done()
-		return held.ResultLost, fmt.Errorf("order: %w", ctx.Err())
+		return held.ResultUnknown, fmt.Errorf("order: %w", ctx.Err())
 	}
 	return r.obey(c)
 }
@@ -78,13 +78,13 @@
 	switch {
 	case c.Kind == held.KindPrepare && c.Version > r.highest && s.Armed == 0 && c.Placement != nil:
 		r.prepare(c)
-	case c.Kind == held.KindHold && c.Step > s.Step && s.Held == held.Never:
+	case c.Kind == held.KindHold && c.Step > s.Step && s.Held == held.NoStep:
 		s.Held = c.Step
 	case c.Kind == held.KindArm && s.Prepared == c.Version && c.Step > s.Step:
 		s.Armed, s.ArmedAt = c.Version, c.Step
-	case c.Kind == held.KindGo && (c.Step == s.Held || c.Step == held.Never):
+	case c.Kind == held.KindRelease && (c.Step == s.Held || c.Step == held.NoStep):
 		if c.Step == s.Held {
-			s.Held = held.Never
+			s.Held = held.NoStep
 		}
 	default:
 		return held.ResultConflict, nil
@@ -119,8 +119,8 @@
 func lists(p *planner.Placement, r graniteknot.Rank) [][]graniteknot.Expert {
 	out := make([][]graniteknot.Expert, p.Shape.Layers)
 	for l := range out {
-		for _, e := range p.Rank(graniteknot.Layer(l), r) {
-			if e != planner.Blank {
+		for _, e := range p.Experts(graniteknot.Layer(l), r) {
+			if e != planner.EmptySlot {
 				out[l] = append(out[l], e)
 			}
 		}
--- a/internal/standin/ranks/group.go
+++ b/internal/standin/ranks/group.go
@@ -76,7 +76,7 @@
 	}
 	for i := range g.ranks {
 		g.ranks[i] = expertmap.Rank{ID: graniteknot.Rank(i)}
-		g.ranks[i].Loaded(first)
+		g.ranks[i].MarkLoaded(first)
 	}
 	g.mixes = [2]planner.Loads{g.popularity(), g.popularity()}
 	g.group.Go(g.loop)
@@ -128,8 +128,8 @@
 	}
 	missing := 0
 	for l := range graniteknot.Layer(g.config.Shape.Layers) {
-		for _, e := range next.Rank(l, r) {
-			if now == nil || !holds(now.Rank(l, r), e) {
+		for _, e := range next.Experts(l, r) {
+			if now == nil || !holds(now.Experts(l, r), e) {
 				missing++
 			}
 		}
@@ -140,7 +140,7 @@
 		}
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.ranks[r].Loaded(v)
+		g.ranks[r].MarkLoaded(v)
 	})
 }
 
@@ -192,16 +192,16 @@
 func (g *Group) step() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	low := g.ranks[0].State().Next
+	low := g.ranks[0].State().NextStep
 	for i := range g.ranks {
-		low = min(low, g.ranks[i].State().Next)
+		low = min(low, g.ranks[i].State().NextStep)
 	}
 	whole := true
 	for i := range g.ranks {
-		if g.ranks[i].State().Next > low {
+		if g.ranks[i].State().NextStep > low {
 			continue
 		}
-		v, ok := g.ranks[i].Begin()
+		v, ok := g.ranks[i].BeginStep()
 		if !ok {
 			whole = false
 			continue
--- a/internal/standin/signer/signer.go
+++ b/internal/standin/signer/signer.go
@@ -22,8 +22,8 @@
 }
 
 // Trust returns the public keys of partners.
-func Trust(partners ...graniteknot.Partner) *fold.Trust {
-	t := &fold.Trust{}
+func Trust(partners ...graniteknot.Partner) *fold.TrustStore {
+	t := &fold.TrustStore{}
 	for _, p := range partners {
 		t.Add(p, Public(p))
 	}
--- a/limit/account.go
+++ b/limit/account.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Ask asks an account's home for a part of its limits. It returns false when
+// BorrowFunc asks an account's home for a part of its limits. It returns false when
 // the home can't be reached.
-type Ask func(want Amount) (Amount, bool)
+type BorrowFunc func(want Amount) (Amount, bool)
 
 // Account is what one account uses at one process. The zero value works.
 type Account struct {
@@ -24,7 +24,7 @@
 
 // Admit asks for one request of a size in tokens. If it is refused, it returns
 // when to come back.
-func (a *Account) Admit(now time.Time, r Rates, size float64, ask Ask) (time.Duration, bool) {
+func (a *Account) Admit(now time.Time, r Rates, size float64, ask BorrowFunc) (time.Duration, bool) {
 	const soon = 100 * time.Millisecond
 	need := Amount{}
 	if r.Requests > 0 {
@@ -110,7 +110,7 @@
 	if need.Requests > 0 && !a.requests.Take(now, r.floor(r.Requests), need.Requests) {
 		return false
 	}
-	return need.Tokens == 0 || a.tokens.TakeInDebt(now, r.floor(r.Tokens), need.Tokens) > 0
+	return need.Tokens == 0 || a.tokens.TakeWithDebt(now, r.floor(r.Tokens), need.Tokens) > 0
 }
 
 // Release ends an admitted request.
@@ -120,8 +120,8 @@
 	a.open--
 }
 
-// Idle tells whether the account has nothing open and was not used since.
-func (a *Account) Idle(since time.Time) bool {
+// IdleSince tells whether the account has nothing open and was not used since.
+func (a *Account) IdleSince(since time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.open == 0 && a.used.Before(since)
--- a/limit/accounts.go
+++ b/limit/accounts.go
@@ -12,16 +12,16 @@
 // Accounts holds the accounts that were used lately. The zero value works.
 type Accounts struct {
 	mu    sync.Mutex
-	table map[Name]*Account
+	table map[AccountName]*Account
 	swept time.Time
 }
 
 // Get returns an account.
-func (t *Accounts) Get(name Name, now time.Time) *Account {
+func (t *Accounts) Get(name AccountName, now time.Time) *Account {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.table == nil {
-		t.table = map[Name]*Account{}
+		t.table = map[AccountName]*Account{}
 		t.swept = now
 	}
 	if now.Sub(t.swept) > idleTime {
@@ -38,7 +38,7 @@
 func (t *Accounts) sweep(now time.Time) {
 	t.swept = now
 	for name, a := range t.table {
-		if a.Idle(now.Add(-idleTime)) {
+		if a.IdleSince(now.Add(-idleTime)) {
 			delete(t.table, name)
 		}
 	}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -21,9 +21,9 @@
 	return got
 }
 
-// TakeInDebt takes an amount that may be larger than the burst as soon as
+// TakeWithDebt takes an amount that may be larger than the burst as soon as
 // there is anything; what a bucket is below zero is made up for before the next.
-func (b *Bucket) TakeInDebt(now time.Time, rate, amount float64) float64 {
+func (b *Bucket) TakeWithDebt(now time.Time, rate, amount float64) float64 {
 	b.fill(now, rate)
 	if b.held <= 0 {
 		return 0
--- a/limit/example_test.go
+++ b/limit/example_test.go
@@ -10,8 +10,8 @@
 // A home lends an account's limit of four requests a second to one process.
 func Example() {
 	now := time.Unix(1_800_000_000, 0)
-	name := limit.Name{Partner: "herbarium", Account: "station"}
-	rates := limit.Rates{Requests: 4, Processes: 1, Seen: 1}
+	name := limit.AccountName{Partner: "herbarium", Account: "station"}
+	rates := limit.Rates{Requests: 4, Processes: 1, AliveProcesses: 1}
 	var home limit.Lender
 	var account limit.Account
 	ask := func(want limit.Amount) (limit.Amount, bool) { return home.Lend(now, name, rates, want), true }
--- a/limit/lender.go
+++ b/limit/lender.go
@@ -27,15 +27,15 @@
 	Requests, Tokens float64
 	// Concurrent is held by each process for itself.
 	Concurrent int64
-	// Processes is how many there are, and Seen how many of them the process
+	// Processes is how many there are, and AliveProcesses how many of them the process
 	// sees alive, itself included.
-	Processes, Seen int64
+	Processes, AliveProcesses int64
 }
 
 // lendable is the part of a rate that the home may lend.
 func (r Rates) lendable(rate float64) float64 {
 	all := float64(max(r.Processes, 1))
-	return rate * (1 - floorShare) * min(1, float64(max(r.Seen, 1))/all)
+	return rate * (1 - floorShare) * min(1, float64(max(r.AliveProcesses, 1))/all)
 }
 
 // floor is the part of a rate that each process has of its own.
@@ -43,8 +43,8 @@
 	return rate * floorShare / float64(max(r.Processes, 1))
 }
 
-// Name is an account of a partner.
-type Name struct {
+// AccountName is an account of a partner.
+type AccountName struct {
 	Partner graniteknot.Partner
 	Account graniteknot.Account
 }
@@ -52,7 +52,7 @@
 // Lender is the home of accounts. The zero value works.
 type Lender struct {
 	mu    sync.Mutex
-	homes map[Name]*home
+	homes map[AccountName]*home
 	swept time.Time
 }
 
@@ -65,20 +65,20 @@
 // Lend gives at most what is asked for of an account's limits. A new home lends
 // at once: what a former one lent and was not used yet is at most askAhead of
 // the limit for each process.
-func (l *Lender) Lend(now time.Time, name Name, r Rates, want Amount) Amount {
+func (l *Lender) Lend(now time.Time, name AccountName, r Rates, want Amount) Amount {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.home(now, name)
 	h.used = now
 	return Amount{
 		Requests: h.requests.TakeUpTo(now, r.lendable(r.Requests), want.Requests),
-		Tokens:   h.tokens.TakeInDebt(now, r.lendable(r.Tokens), want.Tokens),
+		Tokens:   h.tokens.TakeWithDebt(now, r.lendable(r.Tokens), want.Tokens),
 	}
 }
 
-func (l *Lender) home(now time.Time, name Name) *home {
+func (l *Lender) home(now time.Time, name AccountName) *home {
 	if l.homes == nil {
-		l.homes = map[Name]*home{}
+		l.homes = map[AccountName]*home{}
 		l.swept = now
 	}
 	if now.Sub(l.swept) > idleTime {
--- a/limit/lending_test.go
+++ b/limit/lending_test.go
@@ -26,7 +26,7 @@
 	limited = 100
 )
 
-var name = limit.Name{Partner: "herbarium", Account: "station"}
+var name = limit.AccountName{Partner: "herbarium", Account: "station"}
 
 func newWorld() *world {
 	w := &world{now: time.Unix(1_800_000_000, 0), rate: float64(limited)}
@@ -40,14 +40,14 @@
 }
 
 func (w *world) admit(i int) bool {
-	rates := limit.Rates{Requests: w.rate, Processes: entries, Seen: w.seen[i]}
+	rates := limit.Rates{Requests: w.rate, Processes: entries, AliveProcesses: w.seen[i]}
 	ask := func(want limit.Amount) (limit.Amount, bool) {
 		h := w.home[i]
 		if h < 0 {
 			return limit.Amount{}, false
 		}
 		lent := rates
-		lent.Seen = w.seen[h]
+		lent.AliveProcesses = w.seen[h]
 		return w.lenders[h].Lend(w.now, name, lent, want), true
 	}
 	_, ok := w.accounts[i].Admit(w.now, rates, 0, ask)
--- a/member/choose.go
+++ b/member/choose.go
@@ -8,10 +8,10 @@
 	graniteknot "graniteknot.org/go"
 )
 
-// Probe returns the next member to probe; false when there is none. Every
+// NextProbe returns the next member to probe; false when there is none. Every
 // other probe goes to a suspect while there is one: it learns of the suspicion
 // from the probe itself and overrules it at once, in many places.
-func (v *View) Probe() (graniteknot.Address, bool) {
+func (v *View) NextProbe() (graniteknot.Address, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.probes++
@@ -34,17 +34,17 @@
 	return "", false
 }
 
-// Peers returns at most n random members that are not dead.
-func (v *View) Peers(n int, except graniteknot.Address) []graniteknot.Address {
+// RandomPeers returns at most n random members that are not dead.
+func (v *View) RandomPeers(n int, except graniteknot.Address) []graniteknot.Address {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := v.addresses(func(l *line) bool { return l.State < StateSuspect && l.Address != except })
 	return out[:min(n, len(out))]
 }
 
-// Lost returns a random member thought dead, to look whether it is back after
+// RandomDead returns a random member thought dead, to look whether it is back after
 // the regions were apart.
-func (v *View) Lost() (graniteknot.Address, bool) {
+func (v *View) RandomDead() (graniteknot.Address, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := v.addresses(func(l *line) bool { return l.State == StateDead })
--- a/member/example_test.go
+++ b/member/example_test.go
@@ -14,10 +14,10 @@
 	var v member.View
 	v.SetSelf(member.Member{Address: "10.0.0.1:80", Incarnation: 1, Role: member.RoleEntry})
 	v.Merge([]member.Member{{Address: "10.0.0.2:80", Incarnation: 1, Role: member.RoleEntry}}, now)
-	v.Unreached("10.0.0.2:80", now)
+	v.MarkUnreachable("10.0.0.2:80", now)
 	m, _ := v.Get("10.0.0.2:80")
 	fmt.Println(m.State)
-	for _, died := range v.Tick(now.Add(member.DefaultSuspicion)) {
+	for _, died := range v.Tick(now.Add(member.DefaultSuspicionTimeout)) {
 		fmt.Println(died.Address, died.State)
 	}
 	// Output:
--- a/member/measure_test.go
+++ b/member/measure_test.go
@@ -78,19 +78,19 @@
 
 // sync exchanges news; it tells whether the answer came back.
 func (c *cluster) sync(from, to int) bool {
-	out := c.views[from].News(address(to), newsLimit)
+	out := c.views[from].Updates(address(to), newsLimit)
 	c.bytes += size(out)
 	if !c.reaches(from, to) {
 		return false
 	}
 	c.views[to].Merge(out, c.loop.Clock())
-	back := c.views[to].News(address(from), newsLimit)
+	back := c.views[to].Updates(address(from), newsLimit)
 	c.bytes += size(back)
 	if !c.reaches(to, from) {
 		return false
 	}
 	c.views[from].Merge(back, c.loop.Clock())
-	c.views[from].Heard(address(to), c.loop.Clock())
+	c.views[from].MarkHeard(address(to), c.loop.Clock())
 	return true
 }
 
@@ -114,7 +114,7 @@
 	}
 	v := c.views[i]
 	v.Tick(c.loop.Clock())
-	a, ok := v.Probe()
+	a, ok := v.NextProbe()
 	if !ok {
 		return
 	}
@@ -127,13 +127,13 @@
 
 func (c *cluster) askHelpers(i, to int) {
 	v := c.views[i]
-	for _, h := range v.Peers(helpers, address(to)) {
+	for _, h := range v.RandomPeers(helpers, address(to)) {
 		helper := c.index(h)
 		if c.reaches(i, helper) && c.sync(helper, to) && c.reaches(helper, i) {
 			return
 		}
 	}
-	v.Unreached(address(to), c.loop.Clock())
+	v.MarkUnreachable(address(to), c.loop.Clock())
 }
 
 // knowing returns the share of living members that hold one in a state, or a
@@ -219,9 +219,9 @@
 	clear(c.side)
 	for range 40 {
 		for i, v := range c.views {
-			if a, ok := v.Lost(); ok {
+			if a, ok := v.RandomDead(); ok {
 				c.sync(i, c.index(a))
-				v.Merge(c.views[c.index(a)].All(), c.loop.Clock())
+				v.Merge(c.views[c.index(a)].Snapshot(), c.loop.Clock())
 			}
 		}
 		c.loop.Run(time.Second)
@@ -255,7 +255,7 @@
 	if self := v.Self(); self.State != member.StateAlive || self.Version == 0 {
 		t.Errorf("did not overrule: %+v", self)
 	}
-	if !slices.ContainsFunc(v.News(address(1), 4), func(m member.Member) bool { return m.Address == address(0) && m.Version == 1 }) {
+	if !slices.ContainsFunc(v.Updates(address(1), 4), func(m member.Member) bool { return m.Address == address(0) && m.Version == 1 }) {
 		t.Error("the overruling was not passed on")
 	}
 }
--- a/member/view.go
+++ b/member/view.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// DefaultSuspicion is how long a suspect has to overrule the suspicion.
-	DefaultSuspicion = 5 * time.Second
+	// DefaultSuspicionTimeout is how long a suspect has to overrule the suspicion.
+	DefaultSuspicionTimeout = 5 * time.Second
 	// forgetAfter is how long a dead member is remembered, so that old news
 	// does not bring it back.
 	forgetAfter = 10 * time.Minute
@@ -36,8 +36,8 @@
 // View is one process's view. Set Self; the zero rest works. It is safe for
 // use by several goroutines.
 type View struct {
-	// Suspicion is DefaultSuspicion when zero.
-	Suspicion time.Duration
+	// SuspicionTimeout is DefaultSuspicion when zero.
+	SuspicionTimeout time.Duration
 	// Rand makes choices repeatable in tests; the global source when nil.
 	Rand *rand.Rand
 
@@ -133,10 +133,10 @@
 	}
 }
 
-// News returns at most limit lines for a message to another member, and counts
+// Updates returns at most limit lines for a message to another member, and counts
 // them as passed on: this process's own, what it thinks of the receiver if that
 // is bad, so that the receiver can overrule it, and the lines passed on least.
-func (v *View) News(to graniteknot.Address, limit int) []Member {
+func (v *View) Updates(to graniteknot.Address, limit int) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := []Member{v.self}
@@ -159,8 +159,8 @@
 // times is how often one piece of news is sent.
 func (v *View) times() int { return spreadFactor * bits.Len(uint(len(v.lines)+2)) }
 
-// All returns every line, this process's first, for a process that is new.
-func (v *View) All() []Member {
+// Snapshot returns every line, this process's first, for a process that is new.
+func (v *View) Snapshot() []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := []Member{v.self}
@@ -173,8 +173,8 @@
 	return out
 }
 
-// Heard notes that a member answered, and of which life the answer was.
-func (v *View) Heard(a graniteknot.Address, now time.Time) {
+// MarkHeard notes that a member answered, and of which life the answer was.
+func (v *View) MarkHeard(a graniteknot.Address, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if l, ok := v.lines[a]; ok {
@@ -182,8 +182,8 @@
 	}
 }
 
-// Unreached notes that neither this process nor its helpers reached a member.
-func (v *View) Unreached(a graniteknot.Address, now time.Time) {
+// MarkUnreachable notes that neither this process nor its helpers reached a member.
+func (v *View) MarkUnreachable(a graniteknot.Address, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	l, ok := v.lines[a]
@@ -271,8 +271,8 @@
 }
 
 func (v *View) suspicion() time.Duration {
-	if v.Suspicion > 0 {
-		return v.Suspicion
+	if v.SuspicionTimeout > 0 {
+		return v.SuspicionTimeout
 	}
-	return DefaultSuspicion
+	return DefaultSuspicionTimeout
 }
--- a/planner/bound.go
+++ b/planner/bound.go
@@ -6,7 +6,7 @@
 // bound limits nothing.
 type bound struct {
 	slots int
-	room  Room
+	room  LoadLimits
 	// before holds the experts by rank and slot as they are in force.
 	before []graniteknot.Expert
 	// fresh counts, for each rank, the experts of the layer that it has to load;
@@ -14,7 +14,7 @@
 	fresh, all []int
 }
 
-func newBound(s Shape, before []graniteknot.Expert, room Room, all []int) *bound {
+func newBound(s Shape, before []graniteknot.Expert, room LoadLimits, all []int) *bound {
 	return &bound{
 		slots: s.Slots, room: room, before: append([]graniteknot.Expert(nil), before...),
 		fresh: make([]int, s.Ranks), all: all,
@@ -30,10 +30,10 @@
 // in the place of another.
 func (b *bound) more(r int, in, out graniteknot.Expert) int {
 	n := 0
-	if in != Blank && !b.had(r, in) {
+	if in != EmptySlot && !b.had(r, in) {
 		n++
 	}
-	if out != Blank && !b.had(r, out) {
+	if out != EmptySlot && !b.had(r, out) {
 		n--
 	}
 	return n
--- a/planner/change.go
+++ b/planner/change.go
@@ -34,7 +34,7 @@
 		}
 		swaps := w.swapBound(hot, other) > 0 && found.beatenBy(w.swapBound(hot, other), swapMoves)
 		for i, e := range w.on(hot) {
-			if e != Blank && !w.holds(other, e) {
+			if e != EmptySlot && !w.holds(other, e) {
 				w.bestWith(hot, other, i, swaps, &found)
 			}
 		}
@@ -59,13 +59,13 @@
 func (w *work) bestWith(hot, other, i int, swaps bool, found *change) {
 	e := w.on(hot)[i]
 	for j, f := range w.on(other) {
-		if f == Blank || w.replicas[f] > 1 {
+		if f == EmptySlot || w.replicas[f] > 1 {
 			gain := w.replicaGain(other, e, f)
 			if found.beatenBy(gain, 1) && w.bound.allows(other, e, f) {
 				*found = change{hot: hot, other: other, i: i, j: j, replicate: true, gain: gain, moves: 1}
 			}
 		}
-		if f == Blank || !swaps {
+		if f == EmptySlot || !swaps {
 			continue
 		}
 		d := w.shares[e] - w.shares[f]
@@ -92,7 +92,7 @@
 		return
 	}
 	for i, e := range w.on(hot) {
-		if e == Blank || w.replicas[e] < 2 {
+		if e == EmptySlot || w.replicas[e] < 2 {
 			continue
 		}
 		if gain := w.dropGain(hot, e); found.beatenBy(gain, 1) {
@@ -117,7 +117,7 @@
 	added := w.load[e] / float64(w.replicas[e]+1)
 	less := w.shares[e] - added
 	gain := less * (2*w.held[e] - w.heavy[e]*less)
-	if f == Blank {
+	if f == EmptySlot {
 		return gain - square*added*(2*w.rank[other]+added)
 	}
 	more := w.load[f]/float64(w.replicas[f]-1) - w.shares[f]
@@ -169,8 +169,8 @@
 
 // drop takes an expert out of the hot rank.
 func (w *work) drop(c change) {
-	w.bound.note(c.hot, Blank, w.on(c.hot)[c.i])
-	w.on(c.hot)[c.i] = Blank
+	w.bound.note(c.hot, EmptySlot, w.on(c.hot)[c.i])
+	w.on(c.hot)[c.i] = EmptySlot
 	w.drops++
 	w.reset(w.shape, w.slots, w.load)
 }
--- a/planner/example_test.go
+++ b/planner/example_test.go
@@ -13,7 +13,7 @@
 	p.Observe(planner.Loads{{10, 10, 10, 90}})
 	now := planner.NewPlacement(shape)
 	plan := p.Plan(now)
-	fmt.Printf("skew %.2f, then %.2f with %d moves\n", plan.Before, plan.After, plan.Moves())
+	fmt.Printf("skew %.2f, then %.2f with %d moves\n", plan.SkewBefore, plan.SkewAfter, plan.Moves())
 	// Output:
 	// skew 1.67, then 1.00 with 1 moves
 }
