--- a/planner/next.go
+++ b/planner/next.go
@@ -6,8 +6,8 @@
 	graniteknot "graniteknot.org/go"
 )
 
-// Room bounds what one switch may load.
-type Room struct {
+// LoadLimits bounds what one switch may load.
+type LoadLimits struct {
 	// PerLayer is the most experts of a layer that a rank may load.
 	PerLayer int
 	// PerRank is the most that a rank may load of all layers; 0 is no bound. A
@@ -15,30 +15,30 @@
 	PerRank int
 }
 
-// Next is one map to switch to at once.
-type Next struct {
+// SwitchPlan is one map to switch to at once.
+type SwitchPlan struct {
 	Placement *Placement
-	// Moves is how many experts are loaded; Longest is the most by one rank.
-	Moves, Longest int
+	// Moves is how many experts are loaded; MaxMovesPerRank is the most by one rank.
+	Moves, MaxMovesPerRank int
 	// Drops is how many replicas ranks give up without loading another.
 	Drops int
-	// Before and After are the skews of the smoothed loads, by how long the ranks
+	// SkewBefore and SkewAfter are the skews of the smoothed loads, by how long the ranks
 	// take for them.
-	Before, After float64
+	SkewBefore, SkewAfter float64
 }
 
-// PlanNext returns the map that is worth switching to from the present one in
+// PlanSwitch returns the map that is worth switching to from the present one in
 // one step. Moves and Drops are 0 when none is worth it.
-func (p *Planner) PlanNext(now *Placement, room Room) Next {
-	next := Next{Placement: now.Clone(), Before: 1, After: 1}
+func (p *Planner) PlanSwitch(now *Placement, room LoadLimits) SwitchPlan {
+	next := SwitchPlan{Placement: now.Clone(), SkewBefore: 1, SkewAfter: 1}
 	if p.smoothed == nil {
 		return next
 	}
-	next.Before = now.skew(p.smoothed, p.Paces)
+	next.SkewBefore = now.skew(p.smoothed, p.Slowdowns)
 	s := newSearch(p, now, next.Placement, room)
 	s.run()
-	next.Moves, next.Longest, next.Drops = s.bestMoves, s.bestLongest, s.bestDrops
-	next.After = next.Placement.skew(p.smoothed, p.Paces)
+	next.Moves, next.MaxMovesPerRank, next.Drops = s.bestMoves, s.bestLongest, s.bestDrops
+	next.SkewAfter = next.Placement.skew(p.smoothed, p.Slowdowns)
 	return next
 }
 
@@ -46,7 +46,7 @@
 // most for its moves, and keeps those up to where they were worth the most.
 type search struct {
 	threshold float64
-	room      Room
+	room      LoadLimits
 	layers    []layerSearch
 	// loads counts, for each rank, what it has to load of all layers.
 	loads []int
@@ -78,15 +78,15 @@
 	moves, drops int
 }
 
-func newSearch(p *Planner, now, next *Placement, room Room) *search {
-	s := &search{threshold: p.threshold(), bestWorth: p.SwitchGain, room: room, loads: make([]int, p.Shape.Ranks)}
+func newSearch(p *Planner, now, next *Placement, room LoadLimits) *search {
+	s := &search{threshold: p.threshold(), bestWorth: p.MinSwitchGain, room: room, loads: make([]int, p.Shape.Ranks)}
 	for l := range p.Shape.Layers {
 		mean := p.smoothed[l].mean(p.Shape.Ranks)
 		if mean == 0 {
 			continue
 		}
 		one := layerSearch{mean: mean, kept: next.layer(l)}
-		one.work.pace = p.Paces
+		one.work.pace = p.Slowdowns
 		one.work.reset(p.Shape, append([]graniteknot.Expert(nil), one.kept...), p.smoothed[l])
 		one.work.bound = newBound(p.Shape, now.layer(l), room, s.loads)
 		one.before = one.work.max() / mean
--- a/planner/next_test.go
+++ b/planner/next_test.go
@@ -30,23 +30,23 @@
 		{Layers: 2, Experts: 258, Ranks: 129, Slots: 3},
 	} {
 		for seed := range uint64(5) {
-			room := planner.Room{PerLayer: 2, PerRank: 1 + int(seed)}
+			room := planner.LoadLimits{PerLayer: 2, PerRank: 1 + int(seed)}
 			p := &planner.Planner{Shape: s, Smoothing: 1}
 			p.Observe(unevenLoads(s, seed))
-			now := planner.NewDealt(s)
-			first := p.PlanNext(now, room)
+			now := planner.NewRoundRobin(s)
+			first := p.PlanSwitch(now, room)
 			for range 30 {
-				next := p.PlanNext(now, room)
+				next := p.PlanSwitch(now, room)
 				checkMap(t, s, next.Placement)
 				checkRoom(t, s, now, next, room)
-				if next.After > next.Before {
-					t.Fatalf("skew rises from %.3f to %.3f", next.Before, next.After)
+				if next.SkewAfter > next.SkewBefore {
+					t.Fatalf("skew rises from %.3f to %.3f", next.SkewBefore, next.SkewAfter)
 				}
 				now = next.Placement
 			}
 			loads := unevenLoads(s, seed)
 			if got := now.Skew(loads); got > 1.15 && got > 1.1*planner.LowerBound(s, loads) {
-				t.Errorf("%d ranks, seed %d: skew %.3f after 30 maps, %.3f before", s.Ranks, seed, got, first.Before)
+				t.Errorf("%d ranks, seed %d: skew %.3f after 30 maps, %.3f before", s.Ranks, seed, got, first.SkewBefore)
 			}
 		}
 	}
@@ -58,8 +58,8 @@
 		placed := make([]bool, s.Experts)
 		for r := range s.Ranks {
 			seen := map[graniteknot.Expert]bool{}
-			for _, e := range p.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
-				if e == planner.Blank {
+			for _, e := range p.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				if e == planner.EmptySlot {
 					continue
 				}
 				if seen[e] {
@@ -76,7 +76,7 @@
 	}
 }
 
-func checkRoom(t *testing.T, s planner.Shape, now *planner.Placement, next planner.Next, room planner.Room) {
+func checkRoom(t *testing.T, s planner.Shape, now *planner.Placement, next planner.SwitchPlan, room planner.LoadLimits) {
 	t.Helper()
 	all, longest := 0, 0
 	for r := range s.Ranks {
@@ -84,11 +84,11 @@
 		for l := range s.Layers {
 			layer := 0
 			had := map[graniteknot.Expert]bool{}
-			for _, e := range now.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+			for _, e := range now.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
 				had[e] = true
 			}
-			for _, e := range next.Placement.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
-				if e != planner.Blank && !had[e] {
+			for _, e := range next.Placement.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
+				if e != planner.EmptySlot && !had[e] {
 					layer++
 				}
 			}
@@ -102,8 +102,8 @@
 		}
 		all, longest = all+rank, max(longest, rank)
 	}
-	if all != next.Moves || longest != next.Longest {
-		t.Fatalf("told %d moves, at most %d a rank; found %d and %d", next.Moves, next.Longest, all, longest)
+	if all != next.Moves || longest != next.MaxMovesPerRank {
+		t.Fatalf("told %d moves, at most %d a rank; found %d and %d", next.Moves, next.MaxMovesPerRank, all, longest)
 	}
 }
 
@@ -111,9 +111,9 @@
 func TestThresholdSavesMoves(t *testing.T) {
 	s := planner.Shape{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}
 	moves := func(threshold float64) int {
-		p := &planner.Planner{Shape: s, Smoothing: 1, Threshold: threshold}
+		p := &planner.Planner{Shape: s, Smoothing: 1, MinMoveGain: threshold}
 		p.Observe(unevenLoads(s, 3))
-		return p.PlanNext(planner.NewDealt(s), planner.Room{PerLayer: 3}).Moves
+		return p.PlanSwitch(planner.NewRoundRobin(s), planner.LoadLimits{PerLayer: 3}).Moves
 	}
 	if few, many := moves(0.1), moves(0.002); few == 0 || few >= many {
 		t.Errorf("%d moves with a high threshold, %d with a low one", few, many)
@@ -130,15 +130,15 @@
 		"129x16x258": {Layers: 16, Experts: 258, Ranks: 129, Slots: 3},
 	} {
 		b.Run(name, func(b *testing.B) {
-			p := &planner.Planner{Shape: s, Smoothing: 1, Threshold: 0.06}
+			p := &planner.Planner{Shape: s, Smoothing: 1, MinMoveGain: 0.06}
 			p.Observe(unevenLoads(s, 1))
-			now := planner.NewDealt(s)
-			room := planner.Room{PerLayer: 3, PerRank: 1}
+			now := planner.NewRoundRobin(s)
+			room := planner.LoadLimits{PerLayer: 3, PerRank: 1}
 			if s.Ranks > 100 {
-				room, p.Threshold = planner.Room{PerLayer: 2, PerRank: 14}, 0.004
+				room, p.MinMoveGain = planner.LoadLimits{PerLayer: 2, PerRank: 14}, 0.004
 			}
 			for b.Loop() {
-				p.PlanNext(now, room)
+				p.PlanSwitch(now, room)
 			}
 		})
 	}
@@ -150,16 +150,16 @@
 	s := planner.Shape{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}
 	p := &planner.Planner{Shape: s, Smoothing: 1}
 	p.Observe(unevenLoads(s, 1))
-	now := planner.NewDealt(s)
-	room := planner.Room{PerLayer: 3, PerRank: 3}
-	free := p.PlanNext(now, room)
-	gain := float64(s.Layers) * (free.Before - free.After)
+	now := planner.NewRoundRobin(s)
+	room := planner.LoadLimits{PerLayer: 3, PerRank: 3}
+	free := p.PlanSwitch(now, room)
+	gain := float64(s.Layers) * (free.SkewBefore - free.SkewAfter)
 	if free.Moves == 0 || gain <= 0 {
 		t.Fatalf("%d moves gain %.3f", free.Moves, gain)
 	}
 	for share, want := range map[float64]bool{0.5: true, 1.5: false} {
-		p.SwitchGain = share * gain
-		if next := p.PlanNext(now, room); next.Moves > 0 != want {
+		p.MinSwitchGain = share * gain
+		if next := p.PlanSwitch(now, room); next.Moves > 0 != want {
 			t.Errorf("%d moves where a switch has to give %.1f of what it can", next.Moves, share)
 		}
 	}
--- a/planner/pace_test.go
+++ b/planner/pace_test.go
@@ -13,13 +13,13 @@
 	s := planner.Shape{Layers: 4, Experts: 72, Ranks: 12, Slots: 8}
 	loads := unevenLoads(s, 3)
 	const slow = 3
-	p := &planner.Planner{Shape: s, Smoothing: 1, Threshold: 0.09}
+	p := &planner.Planner{Shape: s, Smoothing: 1, MinMoveGain: 0.09}
 	p.Observe(loads)
-	now := planner.NewDealt(s)
+	now := planner.NewRoundRobin(s)
 	plan := func(maps int) {
 		for range maps {
-			room := planner.Room{PerLayer: 3, PerRank: 4}
-			next := p.PlanNext(now, room)
+			room := planner.LoadLimits{PerLayer: 3, PerRank: 4}
+			next := p.PlanSwitch(now, room)
 			checkMap(t, s, next.Placement)
 			checkRoom(t, s, now, next, room)
 			now = next.Placement
@@ -27,12 +27,12 @@
 	}
 	plan(10)
 	skew := now.Skew(loads)
-	p.Paces = make([]float64, s.Ranks)
-	for r := range p.Paces {
-		p.Paces[r] = 1
+	p.Slowdowns = make([]float64, s.Ranks)
+	for r := range p.Slowdowns {
+		p.Slowdowns[r] = 1
 	}
 	const times = 12
-	p.Paces[slow] = times
+	p.Slowdowns[slow] = times
 	plan(3)
 	others := 0.0
 	for r := range s.Ranks {
@@ -43,7 +43,7 @@
 	if got := times * load(now, loads, slow); got > 1.2*others {
 		t.Errorf("the slow rank takes %.0f, the busiest other one %.0f", got, others)
 	}
-	p.Paces = nil
+	p.Slowdowns = nil
 	plan(10)
 	if got := now.Skew(loads); got > 1.1*skew {
 		t.Errorf("skew %.3f with a rank that is well again, %.3f before", got, skew)
@@ -56,14 +56,14 @@
 	for l := range p.Shape.Layers {
 		replicas := make([]int, p.Shape.Experts)
 		for other := range p.Shape.Ranks {
-			for _, e := range p.Rank(graniteknot.Layer(l), graniteknot.Rank(other)) {
-				if e != planner.Blank {
+			for _, e := range p.Experts(graniteknot.Layer(l), graniteknot.Rank(other)) {
+				if e != planner.EmptySlot {
 					replicas[e]++
 				}
 			}
 		}
-		for _, e := range p.Rank(graniteknot.Layer(l), r) {
-			if e != planner.Blank {
+		for _, e := range p.Experts(graniteknot.Layer(l), r) {
+			if e != planner.EmptySlot {
 				sum += loads[l][e] / float64(replicas[e])
 			}
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,16 +11,16 @@
 const (
 	// DefaultSmoothing is the weight of new counts.
 	DefaultSmoothing = 0.6
-	// DefaultThreshold is the gain in a layer's skew that one move has to give
+	// DefaultMinMoveGain is the gain in a layer's skew that one move has to give
 	// at equal weights.
-	DefaultThreshold = 0.002
-	// DefaultTrigger is how much a layer's skew has to grow before it is looked
+	DefaultMinMoveGain = 0.002
+	// DefaultHysteresis is how much a layer's skew has to grow before it is looked
 	// at again.
-	DefaultTrigger = 0.01
+	DefaultHysteresis = 0.01
 	// DefaultMaxMoves bounds the moves of one plan.
 	DefaultMaxMoves = 64
-	// DefaultStaging is how many experts a rank can load beside those it holds.
-	DefaultStaging = 1
+	// DefaultStagingSlots is how many experts a rank can load beside those it holds.
+	DefaultStagingSlots = 1
 )
 
 // maxChain bounds the changes that are looked at for one layer.
@@ -31,9 +31,9 @@
 	Skew, Cost float64
 }
 
-// Blend returns the weights of a group that both partners use, by their
+// BlendWeights returns the weights of a group that both partners use, by their
 // tokens.
-func Blend(a, b Weights, tokensA, tokensB float64) Weights {
+func BlendWeights(a, b Weights, tokensA, tokensB float64) Weights {
 	all := tokensA + tokensB
 	if all == 0 {
 		return a
@@ -51,22 +51,22 @@
 	Weights Weights
 	// Smoothing is the weight of new counts in the smoothed ones, up to 1.
 	Smoothing float64
-	// Threshold is the gain that one move has to give at equal weights.
-	Threshold float64
+	// MinMoveGain is the gain that one move has to give at equal weights.
+	MinMoveGain float64
 	// MaxMoves bounds the moves of one plan: the weight store's rate times the
 	// time between plans, over the size of an expert.
 	MaxMoves int
-	// Trigger is how much a layer's skew has to grow, at equal weights, over
+	// Hysteresis is how much a layer's skew has to grow, at equal weights, over
 	// what the last plan left it at, before the layer is looked at again.
-	Trigger float64
-	// Staging is how many experts a rank can load beside those it holds.
-	Staging int
-	// SwitchGain is the gain in the sum of the layers' skews that a map has to give
+	Hysteresis float64
+	// StagingSlots is how many experts a rank can load beside those it holds.
+	StagingSlots int
+	// MinSwitchGain is the gain in the sum of the layers' skews that a map has to give
 	// beyond what its moves have to, for PlanNext to find it worth switching to.
-	SwitchGain float64
-	// Paces is how many times slower than a healthy one each rank is, 1 or more;
+	MinSwitchGain float64
+	// Slowdowns is how many times slower than a healthy one each rank is, 1 or more;
 	// nil when all are healthy. PlanNext gives slower ranks less.
-	Paces []float64
+	Slowdowns []float64
 
 	smoothed Loads
 	// work and slots are kept between plans to save allocations.
@@ -91,8 +91,8 @@
 // Plan is an ordered list of batches.
 type Plan struct {
 	Batches []Batch
-	// Before and After are the skews of the smoothed loads.
-	Before, After float64
+	// SkewBefore and SkewAfter are the skews of the smoothed loads.
+	SkewBefore, SkewAfter float64
 }
 
 // Moves counts the moves of all batches.
@@ -128,9 +128,9 @@
 // Plan returns the moves from the present placement that are worth it.
 func (p *Planner) Plan(now *Placement) Plan {
 	if p.smoothed == nil {
-		return Plan{Before: 1, After: 1}
+		return Plan{SkewBefore: 1, SkewAfter: 1}
 	}
-	plan := Plan{Before: now.Skew(p.smoothed)}
+	plan := Plan{SkewBefore: now.Skew(p.smoothed)}
 	chains := make([]chain, 0, p.Shape.Layers)
 	for l := range p.Shape.Layers {
 		if c := p.chain(l, now.layer(l)); c.moves > 0 {
@@ -155,7 +155,7 @@
 	for _, b := range plan.Batches {
 		next.Apply(b)
 	}
-	plan.After = next.Skew(p.smoothed)
+	plan.SkewAfter = next.Skew(p.smoothed)
 	return plan
 }
 
@@ -225,7 +225,7 @@
 		return true
 	}
 	p.settled[l] = min(p.settled[l], skew)
-	return skew > p.settled[l]+p.relative()*orDefault(p.Trigger, DefaultTrigger)
+	return skew > p.settled[l]+p.relative()*orDefault(p.Hysteresis, DefaultHysteresis)
 }
 
 // relative is what cost weighs against skew.
@@ -238,7 +238,7 @@
 
 // threshold is the gain that one move has to give under the weights in force.
 func (p *Planner) threshold() float64 {
-	return p.relative() * orDefault(p.Threshold, DefaultThreshold)
+	return p.relative() * orDefault(p.MinMoveGain, DefaultMinMoveGain)
 }
 
 func describe(w *work, l int, c change) layerChange {
@@ -278,7 +278,7 @@
 }
 
 func (p *Planner) fits(staged map[graniteknot.Rank]int, moves []Move) bool {
-	limit := orDefault(p.Staging, DefaultStaging)
+	limit := orDefault(p.StagingSlots, DefaultStagingSlots)
 	for _, m := range moves {
 		if staged[m.To] >= limit {
 			return false
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -26,7 +26,7 @@
 		seen := map[graniteknot.Expert]bool{}
 		for r := range graniteknot.Rank(p.Shape.Ranks) {
 			own := map[graniteknot.Expert]bool{}
-			for _, e := range p.Rank(l, r) {
+			for _, e := range p.Experts(l, r) {
 				if own[e] {
 					t.Fatalf("layer %d rank %d holds expert %d twice", l, r, e)
 				}
@@ -50,8 +50,8 @@
 	for range 50 {
 		p.Observe(randomLoads(s, random))
 		plan := p.Plan(now)
-		if plan.After > plan.Before {
-			t.Fatalf("the plan makes skew worse: %.3f after %.3f", plan.After, plan.Before)
+		if plan.SkewAfter > plan.SkewBefore {
+			t.Fatalf("the plan makes skew worse: %.3f after %.3f", plan.SkewAfter, plan.SkewBefore)
 		}
 		if plan.Moves() > planner.DefaultMaxMoves {
 			t.Fatalf("%d moves", plan.Moves())
@@ -60,7 +60,7 @@
 			staged := map[graniteknot.Rank]int{}
 			for _, m := range b.Moves {
 				staged[m.To]++
-				if staged[m.To] > planner.DefaultStaging {
+				if staged[m.To] > planner.DefaultStagingSlots {
 					t.Fatalf("rank %d stages %d experts at once", m.To, staged[m.To])
 				}
 			}
@@ -106,17 +106,17 @@
 	s := planner.Shape{Layers: 1, Experts: 4, Ranks: 2, Slots: 3}
 	p := &planner.Planner{Shape: s}
 	p.Observe(planner.Loads{{10, 1, 1, 1}})
-	before := p.Plan(planner.NewPlacement(s)).Before
+	before := p.Plan(planner.NewPlacement(s)).SkewBefore
 	p.Observe(planner.Loads{nil})
 	p.Observe(planner.Loads{{0, 0, 0, 0}})
-	if after := p.Plan(planner.NewPlacement(s)).Before; after != before {
+	if after := p.Plan(planner.NewPlacement(s)).SkewBefore; after != before {
 		t.Errorf("skew %.3f after the gap, %.3f before", after, before)
 	}
 }
 
 // TestStalledIsNotOverloaded tells a slow rank from a loaded one.
 func TestStalledIsNotOverloaded(t *testing.T) {
-	var s planner.Stalls
+	var s planner.StallDetector
 	loads := []float64{100, 100, 200, 100}
 	for range 3 {
 		// Rank 1 is stalled; rank 2 is slow because it has twice the load.
--- a/planner/replay_test.go
+++ b/planner/replay_test.go
@@ -111,7 +111,7 @@
 func fullReplan(s planner.Shape) policy {
 	return func(counts planner.Loads, now *planner.Placement) (*planner.Placement, int) {
 		next := planner.FullReplan(s, counts)
-		return next, next.Moved(now)
+		return next, next.MovesFrom(now)
 	}
 }
 
--- a/planner/shape.go
+++ b/planner/shape.go
@@ -115,9 +115,9 @@
 	return p.slots[l*n : (l+1)*n]
 }
 
-// Rank returns the experts that a rank holds of a layer. It must not be
+// Experts returns the experts that a rank holds of a layer. It must not be
 // changed.
-func (p *Placement) Rank(l graniteknot.Layer, r graniteknot.Rank) []graniteknot.Expert {
+func (p *Placement) Experts(l graniteknot.Layer, r graniteknot.Rank) []graniteknot.Expert {
 	return p.layer(int(l))[int(r)*p.Shape.Slots : (int(r)+1)*p.Shape.Slots]
 }
 
@@ -151,14 +151,14 @@
 	return most / mean
 }
 
-// Moved counts the experts that ranks of p hold and those of the other
+// MovesFrom counts the experts that ranks of p hold and those of the other
 // placement do not.
-func (p *Placement) Moved(from *Placement) int {
+func (p *Placement) MovesFrom(from *Placement) int {
 	n := 0
 	for l := range p.Shape.Layers {
 		for r := range p.Shape.Ranks {
-			had := from.Rank(graniteknot.Layer(l), graniteknot.Rank(r))
-			for _, e := range p.Rank(graniteknot.Layer(l), graniteknot.Rank(r)) {
+			had := from.Experts(graniteknot.Layer(l), graniteknot.Rank(r))
+			for _, e := range p.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
 				if !contains(had, e) {
 					n++
 				}
--- a/planner/stall.go
+++ b/planner/stall.go
@@ -13,10 +13,10 @@
 	stallWindows = 3
 )
 
-// Stalls tells ranks that are slow for other reasons than their experts from
+// StallDetector tells ranks that are slow for other reasons than their experts from
 // those that are overloaded, so that experts are not moved in vain. The zero
 // value works.
-type Stalls struct {
+type StallDetector struct {
 	// slow counts, for each rank, the windows in a row in which its load did
 	// not explain its time.
 	slow []int
@@ -24,7 +24,7 @@
 
 // Observe takes in one window: each rank's own time for a step, without the
 // wait for others, and its load. Times and loads may be in any unit.
-func (s *Stalls) Observe(times, loads []float64) {
+func (s *StallDetector) Observe(times, loads []float64) {
 	if len(s.slow) != len(times) {
 		s.slow = make([]int, len(times))
 	}
@@ -49,7 +49,7 @@
 }
 
 // Stalled returns the ranks whose slowness moving experts would not mend.
-func (s *Stalls) Stalled() []graniteknot.Rank {
+func (s *StallDetector) Stalled() []graniteknot.Rank {
 	var out []graniteknot.Rank
 	for r, n := range s.slow {
 		if n >= stallWindows {
--- a/planner/work.go
+++ b/planner/work.go
@@ -44,7 +44,7 @@
 	w.heavy = cleared(w.heavy, s.Experts)
 	w.weigh()
 	for i, e := range slots {
-		if e == Blank {
+		if e == EmptySlot {
 			continue
 		}
 		w.replicas[e]++
@@ -56,12 +56,12 @@
 		w.shares[e] = load[e] / float64(n)
 	}
 	for i, e := range slots {
-		if e != Blank {
+		if e != EmptySlot {
 			w.rank[i/s.Slots] += w.shares[e]
 		}
 	}
 	for i, e := range slots {
-		if e != Blank {
+		if e != EmptySlot {
 			w.held[e] += w.square[i/s.Slots] * w.rank[i/s.Slots]
 			w.heavy[e] += w.square[i/s.Slots]
 		}
--- a/route/holders.go
+++ b/route/holders.go
@@ -4,7 +4,7 @@
 
 // lookup finds the usable holders of the longest known prefix.
 func (t *Table) lookup(q *Query) {
-	t.view.Holders, t.view.Hit = t.view.Holders[:0], 0
+	t.view.PrefixHolders, t.view.CachedFraction = t.view.PrefixHolders[:0], 0
 	for i := len(q.Prefixes) - 1; i >= 0; i-- {
 		list, ok := t.holders[q.Prefixes[i]]
 		if !ok {
@@ -12,11 +12,11 @@
 		}
 		for _, target := range list.list {
 			if t.holds(target, q.Prefixes[i]) && target.usable(q.Now) && !slices.Contains(q.Tried, target.Address) {
-				t.view.Holders = append(t.view.Holders, target)
+				t.view.PrefixHolders = append(t.view.PrefixHolders, target)
 			}
 		}
-		if len(t.view.Holders) > 0 {
-			t.view.Hit = float64(i+1) / float64(len(q.Prefixes))
+		if len(t.view.PrefixHolders) > 0 {
+			t.view.CachedFraction = float64(i+1) / float64(len(q.Prefixes))
 			return
 		}
 	}
--- a/route/policy.go
+++ b/route/policy.go
@@ -11,8 +11,8 @@
 type Query struct {
 	// Prefixes are hashes of the prompt's prefixes, shortest first.
 	Prefixes []uint64
-	// Prefill is how long the whole prompt takes to read without a cache.
-	Prefill time.Duration
+	// PrefillTime is how long the whole prompt takes to read without a cache.
+	PrefillTime time.Duration
 	// Zone is the entry's own.
 	Zone graniteknot.AvailabilityZone
 	// Tried are not chosen again while others are left.
@@ -24,13 +24,13 @@
 type View struct {
 	// Targets are usable and not empty.
 	Targets []*Target
-	// MeanOthers is the mean of the targets' Others.
-	MeanOthers float64
-	// Holders are the targets that may hold the longest known prefix.
-	Holders []*Target
-	// Hit is the share of the prompt that Holders may hold, from 0 to 1.
-	Hit  float64
-	Rand *rand.Rand
+	// MeanOthersInFlight is the mean of the targets' Others.
+	MeanOthersInFlight float64
+	// PrefixHolders are the targets that may hold the longest known prefix.
+	PrefixHolders []*Target
+	// CachedFraction is the share of the prompt that Holders may hold, from 0 to 1.
+	CachedFraction float64
+	Rand           *rand.Rand
 }
 
 // Policy chooses a target. Implementations keep no state of their own that
@@ -54,11 +54,11 @@
 	return v.Targets[r.next%len(v.Targets)]
 }
 
-// LeastReported chooses the smallest reported load, as it stands.
-type LeastReported struct{}
+// LeastLoad chooses the smallest reported load, as it stands.
+type LeastLoad struct{}
 
 // Choose implements Policy.
-func (LeastReported) Choose(v *View, _ *Query) *Target {
+func (LeastLoad) Choose(v *View, _ *Query) *Target {
 	best := v.Targets[0]
 	for _, t := range v.Targets[1:] {
 		if reported(t) < reported(best) {
--- a/route/replay_test.go
+++ b/route/replay_test.go
@@ -86,7 +86,7 @@
 	}
 	for i := range entryCount {
 		t := &route.Table{Policy: policy(), Rand: rand.New(rand.NewPCG(uint64(i), 6))}
-		t.Set(addresses, r.loop.Clock())
+		t.SetTargets(addresses, r.loop.Clock())
 		r.tables = append(r.tables, t)
 	}
 	for i := range r.targets {
@@ -109,7 +109,7 @@
 	load.Measured = r.loop.Clock()
 	r.loop.After(reportLag, func() {
 		for _, table := range r.tables {
-			table.Report(t.address, load, r.loop.Clock())
+			table.UpdateLoad(t.address, load, r.loop.Clock())
 		}
 	})
 }
@@ -142,7 +142,7 @@
 
 func (r *replay) send(j *job) {
 	table := r.tables[j.entry]
-	choice, ok := table.Choose(&route.Query{Prefixes: []uint64{j.prefix}, Prefill: prefill, Now: r.loop.Clock(), Tried: j.tried})
+	choice, ok := table.Choose(&route.Query{Prefixes: []uint64{j.prefix}, PrefillTime: prefill, Now: r.loop.Clock(), Tried: j.tried})
 	if !ok || len(j.tried) > 4 {
 		r.failed++
 		return
@@ -235,9 +235,9 @@
 	return []policyCase{
 		{"random", func() route.Policy { return route.Random{} }},
 		{"round robin", func() route.Policy { return &route.RoundRobin{} }},
-		{"least reported", func() route.Policy { return route.LeastReported{} }},
+		{"least reported", func() route.Policy { return route.LeastLoad{} }},
 		{"two choices", func() route.Policy { return route.TwoChoices{} }},
-		{"weighted", func() route.Policy { return route.Weighted{} }},
+		{"weighted", func() route.Policy { return route.LeastLatency{} }},
 	}
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -64,9 +64,9 @@
 	Chosen, PrefixHits, Ejected, Probes uint64
 }
 
-// Set gives the targets of the service, from the settings. What is known of
+// SetTargets gives the targets of the service, from the settings. What is known of
 // those that stay is kept.
-func (t *Table) Set(addresses []graniteknot.Address, now time.Time) {
+func (t *Table) SetTargets(addresses []graniteknot.Address, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.byName
@@ -165,7 +165,7 @@
 
 func (t *Table) begin(target *Target, q *Query) {
 	t.stats.Chosen++
-	target.Own++
+	target.OwnInFlight++
 	if target.failures >= failuresToEject {
 		target.probing = true
 		t.stale = true
@@ -188,7 +188,7 @@
 	if !ok {
 		return
 	}
-	target.Own = max(target.Own-1, 0)
+	target.OwnInFlight = max(target.OwnInFlight-1, 0)
 	t.stale = t.stale || target.probing
 	target.probing = false
 	switch r {
@@ -213,8 +213,8 @@
 	t.stats.Ejected++
 }
 
-// Report takes in an agent's report.
-func (t *Table) Report(a graniteknot.Address, l Load, now time.Time) {
+// UpdateLoad takes in an agent's report.
+func (t *Table) UpdateLoad(a graniteknot.Address, l Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	target, ok := t.byName[a]
@@ -231,21 +231,21 @@
 	}
 	t.stale = t.stale || l.Leaving != target.Load.Leaving
 	target.Load = l
-	others := max(0, l.Queued+l.Running-target.Own)
-	t.view.MeanOthers += float64(others-target.Others) / float64(len(t.targets))
-	target.Others = others
+	others := max(0, l.Queued+l.Running-target.OwnInFlight)
+	t.view.MeanOthersInFlight += float64(others-target.OthersInFlight) / float64(len(t.targets))
+	target.OthersInFlight = others
 	t.learnPrefixes(target, l)
 }
 
-// Word is what others than its agent say of a target.
-type Word struct {
+// TargetStatus is what others than its agent say of a target.
+type TargetStatus struct {
 	Leaving, Down bool
 	// Zone is empty when nobody told it.
 	Zone graniteknot.AvailabilityZone
 }
 
-// SetWord notes what the box list and the other members say of a target.
-func (t *Table) SetWord(a graniteknot.Address, w Word) {
+// SetStatus notes what the box list and the other members say of a target.
+func (t *Table) SetStatus(a graniteknot.Address, w TargetStatus) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	target, ok := t.byName[a]
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -12,14 +12,14 @@
 
 func largeTable(n int) (*route.Table, time.Time) {
 	now := time.Unix(1_800_000_000, 0)
-	t := &route.Table{Policy: route.Weighted{}, Rand: rand.New(rand.NewPCG(1, 1))}
+	t := &route.Table{Policy: route.LeastLatency{}, Rand: rand.New(rand.NewPCG(1, 1))}
 	var addresses []graniteknot.Address
 	for i := range n {
 		addresses = append(addresses, graniteknot.Address(fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)))
 	}
-	t.Set(addresses, now)
+	t.SetTargets(addresses, now)
 	for i, a := range addresses {
-		t.Report(a, route.Load{Incarnation: 1, Slots: 16, Running: i % 16, Service: time.Second}, now)
+		t.UpdateLoad(a, route.Load{Incarnation: 1, Slots: 16, Running: i % 16, Service: time.Second}, now)
 	}
 	return t, now
 }
@@ -100,8 +100,8 @@
 // agent or from others.
 func TestLeavingGetsNothing(t *testing.T) {
 	table, now := largeTable(3)
-	table.SetWord("10.0.0.0:80", route.Word{Leaving: true})
-	table.Report("10.0.0.1:80", route.Load{Incarnation: 1, Leaving: true}, now)
+	table.SetStatus("10.0.0.0:80", route.TargetStatus{Leaving: true})
+	table.UpdateLoad("10.0.0.1:80", route.Load{Incarnation: 1, Leaving: true}, now)
 	for range 100 {
 		if c, ok := table.Choose(&route.Query{Now: now}); !ok || c.Address != "10.0.0.2:80" {
 			t.Fatalf("chose %v %v", c, ok)
@@ -113,8 +113,8 @@
 func TestAnotherLife(t *testing.T) {
 	table, now := largeTable(1)
 	a := graniteknot.Address("10.0.0.0:80")
-	table.Report(a, route.Load{Incarnation: 5}, now)
-	table.Report(a, route.Load{Incarnation: 4, Leaving: true}, now)
+	table.UpdateLoad(a, route.Load{Incarnation: 5}, now)
+	table.UpdateLoad(a, route.Load{Incarnation: 4, Leaving: true}, now)
 	if _, ok := table.Choose(&route.Query{Now: now}); !ok || table.Incarnation(a) != 5 {
 		t.Errorf("incarnation %d", table.Incarnation(a))
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -41,10 +41,10 @@
 	Zone    graniteknot.AvailabilityZone
 	// Load is the last report, which lags.
 	Load Load
-	// Own counts this entry's dispatches that have not ended.
-	Own int
-	// Others is what the report shows of other entries' work.
-	Others int
+	// OwnInFlight counts this entry's dispatches that have not ended.
+	OwnInFlight int
+	// OthersInFlight is what the report shows of other entries' work.
+	OthersInFlight int
 	// Leaving targets get no new work.
 	Leaving bool
 	// Down targets are thought dead; they get work only when no other is left.
@@ -73,7 +73,7 @@
 	hold := max(t.Load.Service, time.Millisecond)
 	age := max(now.Sub(t.Load.Measured), 0)
 	fresh := math.Exp(-float64(age) / float64(hold))
-	return float64(t.Own) + fresh*(float64(t.Others)-meanOthers) + meanOthers
+	return float64(t.OwnInFlight) + fresh*(float64(t.OthersInFlight)-meanOthers) + meanOthers
 }
 
 // expectedWait estimates how long a new request waits for a slot among busy
--- a/route/weighted.go
+++ b/route/weighted.go
@@ -12,15 +12,15 @@
 	newPenalty = 50 * time.Millisecond
 )
 
-// Weighted chooses the target with the smallest expected time to the first
+// LeastLatency chooses the target with the smallest expected time to the first
 // token among a few random ones and those that may hold the prompt's prefix:
 // the wait, the prefill that no cache saves, and the distance. Few random
 // ones, and not all, so that entries that know the same do not all choose the
 // same target.
-type Weighted struct{}
+type LeastLatency struct{}
 
 // Choose implements Policy.
-func (Weighted) Choose(v *View, q *Query) *Target {
+func (LeastLatency) Choose(v *View, q *Query) *Target {
 	best := v.Targets[v.Rand.IntN(len(v.Targets))]
 	bestScore := score(best, v, q, 0)
 	for range samples - 1 {
@@ -29,8 +29,8 @@
 			best, bestScore = t, s
 		}
 	}
-	for _, t := range v.Holders {
-		if s := score(t, v, q, v.Hit); s < bestScore {
+	for _, t := range v.PrefixHolders {
+		if s := score(t, v, q, v.CachedFraction); s < bestScore {
 			best, bestScore = t, s
 		}
 	}
@@ -39,7 +39,7 @@
 
 // score is the expected time to the first token.
 func score(t *Target, v *View, q *Query, hit float64) time.Duration {
-	s := t.expectedWait(t.busyness(q.Now, v.MeanOthers)) + time.Duration(float64(q.Prefill)*(1-hit))
+	s := t.expectedWait(t.busyness(q.Now, v.MeanOthersInFlight)) + time.Duration(float64(q.PrefillTime)*(1-hit))
 	if t.Zone != "" && t.Zone != q.Zone {
 		s += zonePenalty
 	}
