A request wants a permit of one limited replica, and is served when it becomes valid

Cause: each request recorded demand at every limited replica of its service and asked for permits there. A gateway with less than a request per permit's life uses one of them and lets the others expire; where all replicas are limited, what is left over shrinks with the number of gateways.

Change: each request wants a permit of one replica, drawn from those whose owner may be asked now; a queued request wakes as its gateway's next permit becomes valid.

--- a/internal/core/fleet/outbox.go
+++ b/internal/core/fleet/outbox.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -87,21 +88,38 @@
 	return true
 }
 
-// wantPermits records that a request could have gone to any of a service's limited
-// replicas. The caller holds the lock.
+// wantPermits records that a request could go to any limited replica of a service, and
+// requests a permit of one of them, drawn at random from those that may be asked now: a
+// permit that is granted where a process has no request in time expires, and others lack
+// it. The caller holds the lock.
 func (t *Table) wantPermits(s graniteknot.Service, now time.Time) {
-	due := false
+	var chosen *target
+	limited, askable := 0, 0
 	for _, x := range t.services[s] {
 		if !x.limited() || x.excluded(now) {
 			continue
 		}
-		x.life.limit.permits.RecordDemand(now)
-		if x.life.limit.permits.PermitsNeeded(now) > 0 {
-			t.requestPermits(x.replica.Life(), now)
-			due = true
+		limited++
+		mayAsk := x.life.limit.permits.MayRequest(now)
+		if mayAsk {
+			askable++
 		}
+		switch {
+		case mayAsk && rand.IntN(askable) == 0:
+			chosen = x
+		case askable == 0 && rand.IntN(limited) == 0:
+			chosen = x
+		}
+	}
+	if chosen == nil {
+		return
 	}
-	if due && t.outbox.notify != nil {
+	chosen.life.limit.permits.RecordDemand(now)
+	if chosen.life.limit.permits.PermitsNeeded(now) <= 0 {
+		return
+	}
+	t.requestPermits(chosen.replica.Life(), now)
+	if t.outbox.notify != nil {
 		t.outbox.notify()
 	}
 }
--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -50,15 +50,47 @@
 	if queued == nil {
 		return lease
 	}
-	timer := time.NewTimer(t.Clock.Until(bounds.GiveUpAt))
-	defer timer.Stop()
-	select {
-	case lease := <-queued.result:
-		return lease
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		wakeAt := t.nextPermit(q.Service.Name, bounds.GiveUpAt)
+		timer := time.NewTimer(t.Clock.Until(wakeAt))
+		select {
+		case lease := <-queued.result:
+			timer.Stop()
+			return lease
+		case <-ctx.Done():
+			timer.Stop()
+			return t.cancelWait(q.Service.Name, queued)
+		case <-timer.C:
+		}
+		if !t.Clock.Now().Before(bounds.GiveUpAt) {
+			return t.cancelWait(q.Service.Name, queued)
+		}
+		t.serveWaiting(q.Service.Name)
+	}
+}
+
+// nextPermit returns when the next permit that this process holds for a service's replicas
+// becomes valid; last if that is later, or if it holds none.
+func (t *Table) nextPermit(s graniteknot.Service, last time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Clock.Now()
+	for _, x := range t.services[s] {
+		if !x.limited() || x.excluded(now) {
+			continue
+		}
+		if from, held := x.life.limit.permits.NextStart(now); held && from.Before(last) {
+			last = from
+		}
 	}
-	return t.cancelWait(q.Service.Name, queued)
+	return last
+}
+
+// serveWaiting serves the requests queued for a service.
+func (t *Table) serveWaiting(s graniteknot.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serveQueue(s, t.Clock.Now())
 }
 
 // acquireOrQueue returns a lease at once, or a queued waiter; neither if no replica
--- a/internal/core/quota/allocation.go
+++ b/internal/core/quota/allocation.go
@@ -96,10 +96,15 @@
 	return a.demand * math.Exp(-now.Sub(a.demandAt).Seconds()/demandTimeConstant.Seconds())
 }
 
+// MayRequest reports whether the owner may be asked for permits now.
+func (a *Allocation) MayRequest(now time.Time) bool {
+	return a.limited && !now.Before(a.nextRequest) && !a.awaitingGrant(now)
+}
+
 // PermitsNeeded returns how many permits to ask for now; none if it is 0 or less.
 func (a *Allocation) PermitsNeeded(now time.Time) int {
 	demand := a.decayedDemand(now)
-	if !a.limited || now.Before(a.nextRequest) || a.awaitingGrant(now) || demand < 0.5 {
+	if !a.MayRequest(now) || demand < 0.5 {
 		return 0
 	}
 	a.dropExpired(now)
@@ -140,6 +145,17 @@
 	return true
 }
 
+// NextStart returns when the next permit that is held but not valid yet becomes valid; false if
+// there is none.
+func (a *Allocation) NextStart(now time.Time) (time.Time, bool) {
+	for _, p := range a.held {
+		if p.from.After(now) {
+			return p.from, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // NextPermit estimates when this process has its next permit.
 func (a *Allocation) NextPermit(now time.Time) time.Time {
 	a.dropExpired(now)
