Cold replicas get no more requests than they withstand, from all gateways together

Cause: a cold replica takes so many requests a second from all gateways together (warmup_per_s, by half more and 5 at the most) and collapses above. Nothing read the rate, and the time for which a record says that its replica is cold was parsed and not used.

Change: while a record says that its replica is cold, the configuration's rate is a limit of the replica, held by the permits that limits have: by the lower of both where the replica states one too. A record that repeats what it said does not extend the time. Warm replicas of the service serve meanwhile.

Not kept: coldness from the header of health answers, since nothing here asks for health; a gateway that has not read a new record yet sends without permits.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -21,8 +21,10 @@
 	Slots int
 	// Draining replicas get no new work.
 	Draining bool
-	// Warmup is how much longer it stays slow, counted from its start.
-	Warmup time.Duration
+	// Warmup is for how long it is cold, counted from when the record first
+	// said so; 0 when it is warm. WarmupRate is its service's.
+	Warmup     time.Duration
+	WarmupRate float64
 	// Group is the lock-step group that the replica is a rank of, empty for
 	// none; Rank is its place there.
 	Group string
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -12,6 +12,9 @@
 	// MaxConnections bounds the open connections to one replica, of all
 	// callers together; 0 is no bound.
 	MaxConnections int
+	// WarmupRate is how many requests a second a cold replica takes from all
+	// callers together; 0 is no bound.
+	WarmupRate float64
 	// Engine is set for services whose replicas are model engines.
 	Engine *Engine
 }
--- a/internal/core/fleet/limit.go
+++ b/internal/core/fleet/limit.go
@@ -18,6 +18,10 @@
 	announced bool
 	rate      quota.Rate
 	asOf      time.Time
+	// coldRate is the limit of the replica until it is warm at coldUntil; both are zero
+	// while it is warm.
+	coldRate  quota.Rate
+	coldUntil time.Time
 	// shedding tells which gateways it refused and asked to back off.
 	shedding sheddingState
 	// permits is this process's share of the limit.
@@ -42,8 +46,12 @@
 	switch {
 	case l.shedding.multiple:
 		l.permits.SetLimit(0)
+	case l.announced && l.cold():
+		l.permits.SetLimit(min(l.rate, l.coldRate))
 	case l.announced:
 		l.permits.SetLimit(l.rate)
+	case l.cold():
+		l.permits.SetLimit(l.coldRate)
 	case l.permits.Limited():
 		l.permits.ClearLimit()
 	}
@@ -210,14 +218,14 @@
 	return out
 }
 
-// limited reports whether this process needs permits for the replica. A replica that
+// limited reports whether this process needs permits for the replica. A warm replica that
 // announced no limit but asked this process to back off is probed after that without
 // one.
 func (t *target) limited() bool {
 	if t.life == nil || !t.life.limit.permits.Limited() {
 		return false
 	}
-	return t.life.limit.announced || !t.life.unconfirmed
+	return t.life.limit.announced || t.life.limit.cold() || !t.life.unconfirmed
 }
 
 // hasPermit reports whether the replica is unlimited or this process holds a permit.
--- a/internal/core/fleet/silence.go
+++ b/internal/core/fleet/silence.go
@@ -55,6 +55,7 @@
 			reroute = append(reroute, g.stragglerLeases(now)...)
 		}
 	}
+	t.endWarmups(now)
 	t.serveAfterBackoff(now)
 	return changed, reroute
 }
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -103,7 +103,7 @@
 		t.add(r, since, now)
 		return true
 	}
-	changed := old.replica.Draining != r.Draining || !old.lapsed.IsZero()
+	changed := old.replica.Draining != r.Draining || old.replica.Warmup != r.Warmup || !old.lapsed.IsZero()
 	// Draining is final within a life.
 	r.Draining = r.Draining || old.replica.Draining
 	if old.replica.Address != r.Address {
@@ -114,6 +114,9 @@
 		// no later heartbeat.
 		old.lastHeartbeat = since
 	}
+	if r.Warmup != old.replica.Warmup {
+		t.setWarmup(old, &r, now)
+	}
 	if r.Group != old.replica.Group {
 		t.leaveGroup(old)
 		old.replica = r
@@ -136,6 +139,7 @@
 	t.restoreLife(x)
 	t.noteDraining(x, now)
 	t.targets[r.ID] = x
+	t.setWarmup(x, &r, now)
 	t.services[r.Service] = append(t.services[r.Service], x)
 	t.addresses[r.Address] = append(t.addresses[r.Address], x)
 	t.joinGroup(x)
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -219,13 +219,13 @@
 		g.recordCache.putReplica(r)
 		if g.Fleet.PutSince(replica, since, now) {
 			g.Log.Info("replica", slog.String("replica", r.Key), slog.String("service", string(replica.Service)),
-				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining),
+				slog.String("address", string(replica.Address)), slog.Bool("draining", replica.Draining), eventlog.Milliseconds("warmup", replica.Warmup),
 				slog.Int64("position", r.At.Offset()))
 		}
 	}
 }
 
-// parseReplica parses a replica's record. A record of a service that the configuration does not
+// parseReplica parses a replica's record, and adds its service's warm-up rate. A record of a service that the configuration does not
 // contain is an error: it could otherwise replace another replica at the same address.
 func (g *Gateway) parseReplica(r graniteknot.KeyedRecord) (catalog.Replica, error) {
 	replica, err := g.Translator.Replica(r)
@@ -233,9 +233,14 @@
 		return replica, err
 	}
 	tree, _ := g.Catalog.Current(g.Clock.Now())
-	if tree != nil && tree.Service(replica.Service) == nil {
+	if tree == nil {
+		return replica, nil
+	}
+	service := tree.Service(replica.Service)
+	if service == nil {
 		return replica, fmt.Errorf("service %.80q is not configured", replica.Service)
 	}
+	replica.WarmupRate = service.WarmupRate
 	return replica, nil
 }
 
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -36,6 +36,11 @@
 		Old: "return t.ending() || t.evacuated }", New: "return t.ending() }",
 		Package: "internal/core/fleet", Test: "TestEvacuatedReplicaIsNeverChosen",
 	},
+	{
+		Name: "cold replicas get as many requests as others", File: "internal/core/fleet/warmup.go",
+		Old: "cold := r.Warmup > 0 && r.WarmupRate > 0", New: "cold := false",
+		Package: "internal/core/fleet", Test: "TestColdReplicasGetNoMoreThanTheyWithstand",
+	},
 	{
 		Name: "older states of other gateways take zones back", File: "internal/core/evacuation/table.go",
 		Old: "if s.Through <= t.through {", New: "if false {",
