ranks: a map changes only where callers gain by it

Change: mapMatters, a decision beside the planner: a map is planned only if passes, under the skew of the newest counts, are expected to take more than half of the longest acceptable pause. The mean pass starts at the first one measured instead of at 0. TestSwitchesOverNarrowLinks and TestSwitchTraffic measure how fast maps follow, so their callers accept pauses so short that the map matters; their bounds stay.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -247,7 +247,7 @@
 	if mapKnown {
 		c.plan()
 	}
-	c.timing.observe(states[0].Step, now)
+	c.timing.observe(states[0].Step, c.forecaster.skew, now)
 	c.desired.OwnRank, c.desired.HoldRank, c.desired.Lead = c.OwnRank, c.holder(), c.timing.lead()
 	decision := held.Decide(states, c.desired)
 	c.desired.ReleasedStep = max(c.desired.ReleasedStep, decision.ReleasedStep)
--- a/internal/core/ranks/link_traffic_test.go
+++ b/internal/core/ranks/link_traffic_test.go
@@ -49,6 +49,9 @@
 	return n
 }
 
+// usefulGap is shorter than the passes of these groups, so that the map always matters to callers.
+const usefulGap = 5 * time.Millisecond
+
 // coordinatorAt returns a coordinator that calls all ranks over the links.
 func (n *narrowLinkFixture) coordinatorAt(fence graniteknot.Position, own int) *ranks.Coordinator {
 	s := n.group.Shape
@@ -59,7 +62,7 @@
 	}
 	const size, bandwidth = 150e6, 22.5e9
 	return ranks.NewCoordinator(ranks.Config{
-		Fence: fence, OwnRank: graniteknot.Rank(own), FormerRank: graniteknot.Rank(own), Members: members, LinkRate: linkRate, MaxEventGap: 200 * time.Millisecond,
+		Fence: fence, OwnRank: graniteknot.Rank(own), FormerRank: graniteknot.Rank(own), Members: members, LinkRate: linkRate, MaxEventGap: usefulGap,
 		Engine: &catalog.Engine{Experts: &catalog.Experts{
 			Sets: s.Layers, Experts: s.Experts, Places: s.Slots, Spare: 2, Size: size, Bandwidth: bandwidth, Fraction: 0.85,
 		}},
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -162,6 +162,9 @@
 		return
 	}
 	c.Planner.Observe(loads)
+	if !c.mapMatters(loads) {
+		return
+	}
 	if !c.thresholdFixed {
 		c.Planner.MinSwitchGain = minSwitchGain * float64(c.Engine.Experts.Sets)
 		c.Planner.MinMoveGain = threshold(c.timing.passTime, c.MaxEventGap) * relativeCost(c.Engine.Experts, len(c.Members))
--- a/internal/core/ranks/switch_timing.go
+++ b/internal/core/ranks/switch_timing.go
@@ -20,19 +20,31 @@
 type switchTiming struct {
 	step   graniteknot.Step
 	seenAt time.Time
-	// passTime is the moving average of a pass's duration.
+	// passTime is the moving average of a pass's duration, and skew that of the load's skew
+	// meanwhile; 0 before the first.
 	passTime time.Duration
+	skew     float64
 	// switchStarted is when the current switch requested a hold; zero between switches.
 	switchStarted time.Time
 	// longestSwitch is the decaying maximum of the time from there to the release.
 	longestSwitch time.Duration
 }
 
-// observe records the latest pass begun.
-func (t *switchTiming) observe(step graniteknot.Step, now time.Time) {
+// observe records the latest pass begun, and the skew of the load; 0 is unknown.
+func (t *switchTiming) observe(step graniteknot.Step, skew float64, now time.Time) {
 	const weight = 4
 	if passes := time.Duration(step - t.step); step > t.step && !t.seenAt.IsZero() {
-		t.passTime += (now.Sub(t.seenAt)/passes - t.passTime) / weight
+		pass := now.Sub(t.seenAt) / passes
+		if t.passTime == 0 {
+			t.passTime = pass
+		}
+		if t.skew == 0 {
+			t.skew = skew
+		}
+		t.passTime += (pass - t.passTime) / weight
+		if skew > 0 {
+			t.skew += (skew - t.skew) / weight
+		}
 	}
 	if step != t.step {
 		t.step, t.seenAt = step, now
