Registrations of many processes at once are written once

Cause: the store takes a topic's appends one after the other, each in 2 ms (trial on the large herbarium, fleet of 278 boxes: 149 gateways' appends took 211 to 422 ms). 1,047 processes have the last one wait 2.1 s; the client gave up after 1.2 s, the append was done all the same, and its repetition after 0.4 s had the others wait for longer. Of the fleet's 8,021 calls in 31 s some 2,100 are one read and one write of each process. A process that no gateway answered for a second also read all members' records from the store anew, three pages at that size.

A keeper's claim keeps its 1.2 s.

--- a/internal/core/presence/member_sync.go
+++ b/internal/core/presence/member_sync.go
@@ -23,6 +23,9 @@
 	// memberSyncTimeout bounds one query, memberSyncAttempts the number of gateways queried.
 	memberSyncTimeout  = 150 * time.Millisecond
 	memberSyncAttempts = 2
+	// memberSyncGrace is how long after a sync the store isn't read although no gateway replies.
+	// The store returns the records of all members in several calls.
+	memberSyncGrace = 3 * time.Second
 )
 
 // MemberSync fetches the member records from gateways instead of from the store: when each
@@ -43,6 +46,8 @@
 	// nextSource counts through the sources; lastDigest is that of the records last fetched.
 	nextSource int
 	lastDigest uint64
+	// syncedAt is when a gateway last replied.
+	syncedAt time.Time
 	// packed are the records as last packed, and packedDigest the view's digest then;
 	// packCache holds the sets that other processes are fetching.
 	packed       PackedRecords
@@ -51,7 +56,8 @@
 }
 
 // Sync queries up to memberSyncAttempts gateways and adds the members that they know to the
-// view. It returns false if none replies. It implements Registrar.SyncFromPeer.
+// view. It returns false if none has replied within memberSyncGrace. It implements
+// Registrar.SyncFromPeer.
 func (s *MemberSync) Sync(ctx context.Context) bool {
 	sources := s.sources(s.Clock.Now())
 	if len(sources) == 0 {
@@ -59,10 +65,15 @@
 	}
 	for range memberSyncAttempts {
 		if s.syncFrom(ctx, sources[s.nextIndex()%len(sources)]) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.syncedAt = s.Clock.Now()
 			return true
 		}
 	}
-	return false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.syncedAt.IsZero() && s.Clock.Since(s.syncedAt) < memberSyncGrace
 }
 
 func (s *MemberSync) sources(now time.Time) []graniteknot.Address {
--- a/internal/core/presence/registrar.go
+++ b/internal/core/presence/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,11 @@
 )
 
 const (
-	// registerRetryDelay is the delay after a failed write of a member record.
-	registerRetryDelay = 400 * time.Millisecond
+	// minRegisterRetryDelay and maxRegisterRetryDelay bound the mean delay after a failed write
+	// of a member record. It doubles with each failure: where very many processes start at once,
+	// the store refuses some of the writes.
+	minRegisterRetryDelay = 400 * time.Millisecond
+	maxRegisterRetryDelay = 6400 * time.Millisecond
 	// registerMaxWait bounds how long a process waits for the records of earlier incarnations
 	// before it writes its own; it polls at registerPollInterval.
 	registerMaxWait      = 400 * time.Millisecond
@@ -71,7 +75,7 @@
 	for start := time.Now(); !r.recordsRead.Load() && time.Since(start) < registerMaxWait; {
 		delay.For(ctx, registerPollInterval)
 	}
-	for ctx.Err() == nil && !r.recorded.Load() {
+	for retry := minRegisterRetryDelay; ctx.Err() == nil && !r.recorded.Load(); retry = min(2*retry, maxRegisterRetryDelay) {
 		at, err := r.Store.Append(ctx, graniteknot.TopicMembers, graniteknot.KeyedRecord{Key: string(r.Self.Box), Value: value})
 		if err == nil {
 			r.View.SetOwnPosition(at)
@@ -79,7 +83,7 @@
 			return
 		}
 		// The record may have been written although the call failed; a second one does no harm.
-		timer := time.NewTimer(registerRetryDelay)
+		timer := time.NewTimer(retry/2 + rand.N(retry))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/internal/core/presence/restore.go
+++ b/internal/core/presence/restore.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// rewriteRecord writes a member's record. After a failure it waits for registerRetryDelay.
+// rewriteRecord writes a member's record. After a failure it waits for minRegisterRetryDelay.
 func (r *Registrar) rewriteRecord(ctx context.Context, m Member) {
 	value, err := json.Marshal(m)
 	if err != nil {
@@ -51,7 +51,7 @@
 	at, err := r.Store.Append(ctx, graniteknot.TopicMembers, graniteknot.KeyedRecord{Key: string(m.Box), Value: value})
 	if err != nil {
 		r.Log.Warn("re-registration failed", slog.String("member", string(m.Box)), slog.String("error", err.Error()))
-		delay.For(ctx, registerRetryDelay)
+		delay.For(ctx, minRegisterRetryDelay)
 		return
 	}
 	r.Log.Info("registered again", slog.String("member", string(m.Box)), slog.String("position", at.String()))
--- a/internal/core/sidecar/keep.go
+++ b/internal/core/sidecar/keep.go
@@ -27,6 +27,8 @@
 	// claimTurn is how much later than the rank before it a rank claims: what a
 	// claim and the first look of a keeper take.
 	claimTurn = 40 * time.Millisecond
+	// claimTimeout bounds a claim.
+	claimTimeout = 1200 * time.Millisecond
 	// reportAge is how old the own rank's report may be.
 	reportAge = time.Second
 	// mostDoubt bounds for how long a keeper that others hear of is not replaced.
@@ -98,7 +100,9 @@
 	if err != nil {
 		return
 	}
-	at, err := s.Store.Append(ctx, graniteknot.TopicKeepers, graniteknot.KeyedRecord{Key: string(report.Group), Value: value})
+	claiming, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	at, err := s.Store.Append(claiming, graniteknot.TopicKeepers, graniteknot.KeyedRecord{Key: string(report.Group), Value: value})
 	if err != nil {
 		// A claim that is added later without an answer only skips a number.
 		s.Log.Warn("keeper claim", slog.String("group", string(report.Group)), slog.String("error", err.Error()))
