presence: work for a message does not grow with the members

Cause: a gateway made an index of all gateways for each bundle (some 170 a second at 531), hashed all members and all replicas for each question about them, and copied and sorted all alive members to count them or to find the first six, several times for each question to a reader, each heartbeat and each attempt.

Change: the view keeps the index and the digest of its members, the fleet table that of its replicas; counts do not copy, and the readers are selected in one pass.

--- a/internal/core/fleet/digest.go
+++ b/internal/core/fleet/digest.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"graniteknot.org/go/catalog"
 )
 
 // Digest is a hash of the registered replicas and their states. It doesn't
@@ -14,17 +16,25 @@
 func (t *Table) Digest() Digest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var digest Digest
-	for _, x := range t.targets {
-		var hash xxhash.Digest
-		hash.Reset()
-		// Writes to a hash never fail.
-		_, _ = hash.WriteString(x.replica.Life().String())
-		_, _ = hash.WriteString("\x00" + string(x.replica.Address) + "\x00")
-		_, _ = hash.Write(binary.AppendUvarint(nil, boolToUint(x.replica.Draining)))
-		digest ^= Digest(hash.Sum64())
-	}
-	return digest
+	return t.digest
+}
+
+// rehash brings the table's digest in line with a target's record. The caller holds the lock.
+func (t *Table) rehash(x *target) {
+	t.digest ^= x.hash
+	x.hash = hashOf(&x.replica)
+	t.digest ^= x.hash
+}
+
+// hashOf returns a replica's part of the digest.
+func hashOf(r *catalog.Replica) Digest {
+	var hash xxhash.Digest
+	hash.Reset()
+	// Writes to a hash never fail.
+	_, _ = hash.WriteString(r.Life().String())
+	_, _ = hash.WriteString("\x00" + string(r.Address) + "\x00")
+	_, _ = hash.Write(binary.AppendUvarint(nil, boolToUint(r.Draining)))
+	return Digest(hash.Sum64())
 }
 
 func boolToUint(b bool) uint64 {
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -36,6 +36,8 @@
 
 	mu      sync.Mutex
 	targets map[catalog.ReplicaID]*target
+	// digest combines the hashes of the targets.
+	digest Digest
 	// reportedLives holds the lives that sidecars reported, by address.
 	reportedLives map[graniteknot.Address]reportedLife
 	// addresses holds the same targets by address.
@@ -123,6 +125,7 @@
 		t.joinGroup(old)
 	}
 	old.replica = r
+	t.rehash(old)
 	old.evacuated = t.zoneEvacuated(r.Zone)
 	old.lapsed = time.Time{}
 	t.noteDraining(old, now)
@@ -139,6 +142,7 @@
 	t.restoreLife(x)
 	t.noteDraining(x, now)
 	t.targets[r.ID] = x
+	t.rehash(x)
 	t.setWarmup(x, &r, now)
 	t.services[r.Service] = append(t.services[r.Service], x)
 	t.addresses[r.Address] = append(t.addresses[r.Address], x)
@@ -195,6 +199,7 @@
 		return false
 	}
 	t.markEnded(old)
+	t.digest ^= old.hash
 	delete(t.targets, id)
 	t.addresses[old.replica.Address] = without(t.addresses[old.replica.Address], old)
 	t.resolveAddress(old.replica.Address)
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -31,6 +31,8 @@
 // target is a replica and its state in this process. Guarded by the table's lock.
 type target struct {
 	replica catalog.Replica
+	// hash is the record's part of the table's digest.
+	hash Digest
 	// registered is when this process learned of it. Its record was written at
 	// writtenAfter or later, its last heartbeat at lastHeartbeat or later; zero before
 	// the first.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -239,7 +239,7 @@
 
 // gatewayCount is the number of gateways that limits are divided by, including gatewayHeadroom.
 func (g *Gateway) gatewayCount() int {
-	return len(g.Members.Members(presence.RoleGateway, g.Config.Box)) + 1 + gatewayHeadroom
+	return g.Members.Count(presence.RoleGateway, g.Config.Box) + 1 + gatewayHeadroom
 }
 
 func (g *Gateway) connLimit(s *catalog.Service) int {
--- a/internal/core/gateway/heartbeat.go
+++ b/internal/core/gateway/heartbeat.go
@@ -26,7 +26,7 @@
 		to = g.allPeers()
 	}
 	g.socket.Send(g.heartbeat(), to)
-	g.Fleet.SetGateways(len(g.Members.ReadyMembers(presence.RoleGateway, g.Config.Box, now)) + 1)
+	g.Fleet.SetGateways(g.Members.CountReady(presence.RoleGateway, g.Config.Box, now) + 1)
 }
 
 // sendHeartbeatTo sends a heartbeat and the limits that this gateway owns to a new member.
@@ -78,7 +78,7 @@
 	known, since := 0, began
 	for ctx.Err() == nil {
 		now := g.Clock.Now()
-		if n := len(g.Members.Members(presence.RoleGateway, g.Config.Box)); n != known {
+		if n := g.Members.Count(presence.RoleGateway, g.Config.Box); n != known {
 			known, since = n, now
 		}
 		settling := known == 0 || now.Sub(since) < concurrentStartQuiet
--- a/internal/core/gateway/metrics.go
+++ b/internal/core/gateway/metrics.go
@@ -34,7 +34,7 @@
 		return behind.Seconds()
 	})
 	g.Meter.Gauge("graniteknot_gateways_alive", func() float64 {
-		return float64(len(g.Members.ReadyMembers(presence.RoleGateway, g.Config.Box, g.Clock.Now())) + 1)
+		return float64(g.Members.CountReady(presence.RoleGateway, g.Config.Box, g.Clock.Now()) + 1)
 	})
 	g.Meter.Gauge("graniteknot_zones_evacuated", func() float64 {
 		state := g.Evacuations.State()
--- a/internal/core/gateway/readers.go
+++ b/internal/core/gateway/readers.go
@@ -51,17 +51,16 @@
 // allReaders returns the gateways that read the store for all, including this one if it is a
 // reader; nil in a small deployment.
 func (g *Gateway) allReaders(now time.Time) []presence.Member {
-	limit := g.Config.Readers
-	all := append(g.Members.AliveMembers(presence.RoleGateway, g.Config.Box, now), g.self())
-	if limit == 0 || len(all) <= 2*limit {
+	selection, self := readers.Selection{Limit: g.Config.Readers}, g.self()
+	if selection.Limit == 0 {
 		return nil
 	}
-	return readers.Order(all, func(box graniteknot.BoxName) bool {
-		if box == g.Config.Box {
-			return g.Health.Lost(now)
-		}
-		return g.Members.StoreLost(box)
-	})[:limit]
+	g.Members.EachAlive(presence.RoleGateway, g.Config.Box, now, selection.Add)
+	selection.Add(&self, g.Health.Lost(now))
+	if selection.Added() <= 2*selection.Limit {
+		return nil
+	}
+	return selection.Members()
 }
 
 // wakeFollowers makes the store followers check at once whether this gateway has to read.
@@ -120,7 +119,7 @@
 // for all.
 func (g *Gateway) usesReaders(now time.Time) bool {
 	limit := g.Config.Readers
-	return limit > 0 && len(g.Members.AliveMembers(presence.RoleGateway, g.Config.Box, now))+1 > 2*limit
+	return limit > 0 && g.Members.CountAlive(presence.RoleGateway, g.Config.Box, now)+1 > 2*limit
 }
 
 // isAmongFirstReaders reports whether this gateway is one of the first n readers.
--- a/internal/core/presence/relay.go
+++ b/internal/core/presence/relay.go
@@ -41,29 +41,18 @@
 func (v *View) UpdateRelaying(self Member, staying bool, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.relaying = staying && v.countGateways()+1 > MaxDirectGateways && v.elected(self, now)
+	v.relaying = staying && len(v.gateways)+1 > MaxDirectGateways && v.elected(self, now)
 	return v.relaying
 }
 
-// countGateways returns the number of known gateways. The caller holds v.mu.
-func (v *View) countGateways() int {
-	n := 0
-	for _, p := range v.peers {
-		if p.Role == RoleGateway {
-			n++
-		}
-	}
-	return n
-}
-
 // elected reports whether a gateway is among the first relaysPerZone of its zone. The caller
 // holds v.mu.
 func (v *View) elected(self Member, now time.Time) bool {
 	ahead := 0
-	for _, p := range v.peers {
+	for _, p := range v.gateways {
 		// A relay has to announce itself; bundles of others don't count.
 		silent := !p.relayHeard.IsZero() && now.Sub(p.relayHeard) > relayTimeout
-		if p.Role == RoleGateway && p.Zone == self.Zone && p.Box != self.Box && !silent && v.isAlive(p, now) && compareRelayPriority(p.Member, self) < 0 {
+		if p.Zone == self.Zone && p.Box != self.Box && !silent && v.isAlive(p, now) && compareRelayPriority(p.Member, self) < 0 {
 			ahead++
 		}
 	}
@@ -88,8 +77,8 @@
 	defer v.mu.Unlock()
 	var all, relays []*peer
 	relayed := map[graniteknot.AvailabilityZone]bool{}
-	for _, p := range v.peers {
-		if p.Role != RoleGateway || p.Box == except {
+	for _, p := range v.gateways {
+		if p.Box == except {
 			continue
 		}
 		all = append(all, p)
@@ -110,8 +99,8 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var all []*peer
-	for _, p := range v.peers {
-		if p.Role == RoleGateway && p.Zone == self.Zone && p.Box != self.Box {
+	for _, p := range v.gateways {
+		if p.Zone == self.Zone && p.Box != self.Box {
 			all = append(all, p)
 		}
 	}
@@ -142,20 +131,14 @@
 		p.ready, p.lastHeard, p.relayHeard = m.Ready, now, now
 		v.setStoreLost(p, m.StoreLost)
 	}
-	byHash := make(map[uint32]*peer, len(v.peers))
-	for _, p := range v.peers {
-		if p.Role == RoleGateway {
-			byHash[boxHash(p.Box)] = p
-		}
-	}
 	for _, hash := range b.Ready {
-		if p := byHash[hash]; p != nil {
+		if p := v.gateways[hash]; p != nil {
 			p.ready, p.lastHeard = true, now
 			v.setStoreLost(p, slices.Contains(b.StoreLost, hash))
 		}
 	}
 	for _, hash := range b.Unready {
-		if p := byHash[hash]; p != nil {
+		if p := v.gateways[hash]; p != nil {
 			p.ready, p.lastHeard = false, now
 			v.setStoreLost(p, slices.Contains(b.StoreLost, hash))
 		}
--- a/internal/core/presence/view.go
+++ b/internal/core/presence/view.go
@@ -28,6 +28,11 @@
 type View struct {
 	mu    sync.Mutex
 	peers map[graniteknot.BoxName]*peer
+	// gateways are the peers that are gateways, by boxHash. Of two with the same hash it
+	// holds the one that was put last.
+	gateways map[uint32]*peer
+	// digest combines the incarnationHash of all peers.
+	digest uint64
 	// configVersion is the newest configuration version that a member reported. It never
 	// decreases, as versions do not.
 	configVersion uint64
@@ -90,21 +95,41 @@
 		old.position = at
 		return false
 	}
+	v.remove(m.Box)
 	// A new member counts as ready until its first datagram is overdue.
-	v.peers[m.Box] = &peer{Member: m, position: at, ready: true, lastHeard: now.Add(firstHeartbeatTimeout - heartbeatTimeout)}
+	p := &peer{Member: m, position: at, ready: true, lastHeard: now.Add(firstHeartbeatTimeout - heartbeatTimeout)}
+	v.peers[m.Box] = p
+	v.digest ^= incarnationHash(&m)
+	if m.Role == RoleGateway {
+		if v.gateways == nil {
+			v.gateways = map[uint32]*peer{}
+		}
+		v.gateways[boxHash(m.Box)] = p
+	}
 	return true
 }
 
+// remove removes a member from the indexes. The caller holds v.mu.
+func (v *View) remove(box graniteknot.BoxName) {
+	p := v.peers[box]
+	if p == nil {
+		return
+	}
+	delete(v.peers, box)
+	v.digest ^= incarnationHash(&p.Member)
+	if v.gateways[boxHash(box)] == p {
+		delete(v.gateways, boxHash(box))
+	}
+}
+
 // Digest returns a hash of all known members and their incarnations, the own one included. It
 // is the same for all processes that know the same.
 func (v *View) Digest(self Member) uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := incarnationHash(&self)
-	for _, p := range v.peers {
-		if p.Box != self.Box {
-			out ^= incarnationHash(&p.Member)
-		}
+	out := v.digest ^ incarnationHash(&self)
+	if p := v.peers[self.Box]; p != nil {
+		out ^= incarnationHash(&p.Member)
 	}
 	return out
 }
@@ -141,7 +166,7 @@
 func (v *View) Remove(box graniteknot.BoxName) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.peers, box)
+	v.remove(box)
 }
 
 // ApplyMessage updates the view from a member's message. One that describes its sender adds
@@ -188,6 +213,46 @@
 	return out
 }
 
+// Count returns how many members of a role there are, except one box.
+func (v *View) Count(role Role, except graniteknot.BoxName) int {
+	return v.count(role, except, func(*peer) bool { return true })
+}
+
+// CountAlive returns how many members of a role are alive, ready or not, except one box.
+func (v *View) CountAlive(role Role, except graniteknot.BoxName, now time.Time) int {
+	return v.count(role, except, func(p *peer) bool { return v.isAlive(p, now) })
+}
+
+// CountReady returns how many members of a role are alive and ready, except one box.
+func (v *View) CountReady(role Role, except graniteknot.BoxName, now time.Time) int {
+	return v.count(role, except, func(p *peer) bool { return p.ready && v.isAlive(p, now) })
+}
+
+func (v *View) count(role Role, except graniteknot.BoxName, matches func(*peer) bool) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, p := range v.peers {
+		if p.Role == role && p.Box != except && matches(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// EachAlive calls a function for each member of a role that is alive, except one box, in no
+// order. The function gets whether the member reported that it can't reach the store; it must
+// not call the view.
+func (v *View) EachAlive(role Role, except graniteknot.BoxName, now time.Time, do func(m *Member, storeLost bool)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, p := range v.peers {
+		if p.Role == role && p.Box != except && v.isAlive(p, now) {
+			do(&p.Member, p.storeLost)
+		}
+	}
+}
+
 // PeerAddress returns the address at which a member receives datagrams; false if the member
 // is unknown.
 func (v *View) PeerAddress(box graniteknot.BoxName) (graniteknot.Address, bool) {
--- a/internal/core/readers/readers.go
+++ b/internal/core/readers/readers.go
@@ -9,10 +9,21 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/presence"
 )
 
+// Selection selects the gateways with the highest priority as readers. The selection is the same
+// for all processes that add the same gateways: by a hash of the box, which spreads readers over
+// the availability zones. Gateways that can't reach the store come last.
+type Selection struct {
+	// Limit is the number of gateways to select; it is set before the first Add.
+	Limit int
+
+	// first are the selected ones so far, in order; at most Limit.
+	first []rankedGateway
+	added int
+}
+
 // rankedGateway is a gateway with its sort keys.
 type rankedGateway struct {
 	member    presence.Member
@@ -20,24 +31,36 @@
 	hash      uint64
 }
 
-// Order returns the gateways by priority as readers, the same for all processes that know the
-// same members: by a hash of the box, which spreads readers over the availability zones.
-// Gateways that can't reach the store come last.
-func Order(all []presence.Member, storeLost func(graniteknot.BoxName) bool) []presence.Member {
-	list := make([]rankedGateway, len(all))
-	for i, m := range all {
-		list[i] = rankedGateway{m, storeLost(m.Box), xxhash.Sum64String(string(m.Box))}
+// Add adds a gateway.
+func (s *Selection) Add(m *presence.Member, storeLost bool) {
+	s.added++
+	next := rankedGateway{storeLost: storeLost, hash: xxhash.Sum64String(string(m.Box))}
+	at, _ := slices.BinarySearchFunc(s.first, next, compare)
+	if at == s.Limit {
+		return
 	}
-	slices.SortFunc(list, func(a, b rankedGateway) int {
-		return cmp.Or(compareBool(a.storeLost, b.storeLost), cmp.Compare(a.hash, b.hash))
-	})
-	out := make([]presence.Member, len(list))
-	for i := range list {
-		out[i] = list[i].member
+	next.member = *m
+	s.first = slices.Insert(s.first, at, next)
+	s.first = s.first[:min(len(s.first), s.Limit)]
+}
+
+// Added returns how many gateways were added.
+func (s *Selection) Added() int { return s.added }
+
+// Members returns the selected gateways by priority.
+func (s *Selection) Members() []presence.Member {
+	out := make([]presence.Member, len(s.first))
+	for i := range s.first {
+		out[i] = s.first[i].member
 	}
 	return out
 }
 
+// compare orders gateways by priority.
+func compare(a, b rankedGateway) int {
+	return cmp.Or(compareBool(a.storeLost, b.storeLost), cmp.Compare(a.hash, b.hash))
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -215,7 +215,7 @@
 
 // period is the time between two digests that are told to so many.
 func (s *Sidecar) period(told int) time.Duration {
-	if told < len(s.Members.Members(presence.RoleGateway, "")) {
+	if told < s.Members.Count(presence.RoleGateway, "") {
 		return presence.RelayedReportInterval
 	}
 	return presence.ReportInterval(told)
