gateway: callers are told of gateways of their own zone, and each zone's of others

Cause: an answer holds 64 addresses and named the first by box name, at 531 gateways all of one zone, to all callers: that zone's loss takes all addresses, and it serves callers of five zones.

Change: beyond 64 gateways an answer names 48 of the caller's zone and 16 of others, by a hash of box and zone that all gateways agree on. Smaller deployments are told of all gateways, as before.

Result (TestAddressesFollowTheCallersZone, 240 gateways): two gateways name the same ones; three zones' callers are told of at least 128 gateways in place of 64.

--- a/internal/core/gateway/listen.go
+++ b/internal/core/gateway/listen.go
@@ -11,9 +11,6 @@
 	"graniteknot.org/go/internal/core/presence"
 )
 
-// maxAddresses is the most addresses that callers accept in one answer.
-const maxAddresses = 64
-
 // addressTTLShare is the fraction of the configured answer lifetime that an address answer is
 // given, because some callers keep answers for three times as long as they are told.
 const addressTTLShare = 0.6
@@ -47,8 +44,7 @@
 }
 
 func (g *Gateway) serveAddresses(w http.ResponseWriter, r *http.Request) {
-	g.Translator.AskedFor(r)
-	list := g.addresses(g.Clock.Now())
+	list := g.addresses(g.Translator.AskedFor(r).Zone, g.Clock.Now())
 	if len(list) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -59,18 +55,17 @@
 	}
 }
 
-// addresses lists the gateways that accept requests. A gateway that is not ready itself and hears
-// of no ready one lists all it knows.
-func (g *Gateway) addresses(now time.Time) []graniteknot.Address {
-	var out []graniteknot.Address
+// addresses lists the gateways that accept requests, for callers of a zone. A gateway that is not
+// ready itself and hears of no ready one lists those that it knows.
+func (g *Gateway) addresses(zone graniteknot.AvailabilityZone, now time.Time) []graniteknot.Address {
+	ready := g.Members.ReadyMembers(presence.RoleGateway, g.Config.Box, now)
 	if g.ready() {
-		out = append(out, g.Config.Requests)
+		ready = append(ready, g.self())
 	}
-	out = appendRequestAddresses(out, g.Members.ReadyMembers(presence.RoleGateway, g.Config.Box, now))
-	if len(out) == 0 {
-		out = appendRequestAddresses(out, g.Members.Members(presence.RoleGateway, g.Config.Box))
+	if len(ready) == 0 {
+		ready = g.Members.Members(presence.RoleGateway, g.Config.Box)
 	}
-	return out[:min(len(out), maxAddresses)]
+	return appendRequestAddresses(nil, selectForZone(ready, zone))
 }
 
 // appendRequestAddresses appends the request addresses of those members that have one.
