--- a/internal/core/entry/routes.go
+++ b/internal/core/entry/routes.go
@@ -119,7 +119,7 @@
 	return out
 }
 
-// wordStep gives the tables what members and box list say, and makes tables
+// wordStep gives the tables what members, box list and settings say, and makes tables
 // for new services, so that targets report before the first request.
 func (e *Entry) wordStep(context.Context) {
 	for _, s := range e.node.Store.Tree().Services(e.node.Config.Partner) {
@@ -139,7 +139,7 @@
 		return w
 	}
 	w.Zone = m.Zone
-	w.Leaving = w.Leaving || m.State == member.StateLeaving
+	w.Leaving = w.Leaving || m.State == member.StateLeaving || e.node.Store.Tree().Evacuated(e.node.Config.Partner, m.Zone)
 	w.Down = m.State == member.StateDead
 	return w
 }
--- a/settings/patch.go
+++ b/settings/patch.go
@@ -52,7 +52,7 @@
 	if !ok {
 		return nil, inifile.Faults{{
 			File: file, Line: s.Line, Section: s.Name,
-			Expected: "[root], [share PARTNER], [partner], [service NAME] or [account NAME]",
+			Expected: "[root], [share PARTNER], [partner], [service NAME], [account NAME] or [zone NAME]",
 		}}
 	}
 	if id.Level.inRoot() != (branch == Root) {
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -32,6 +32,7 @@
 	KeyEntries        Key = "entries"
 	KeyVersion        Key = "model_version"
 	KeyRollInterval   Key = "roll_interval"
+	KeyEvacuated      Key = "evacuated"
 	KeyDelete         Key = "delete"
 	unlimitedReadable     = "0 for no limit"
 )
@@ -167,7 +168,11 @@
 		Doc: "entry boxes that the partner has; limits are shared out by it",
 	},
 	{
-		Key: KeyDelete, Type: TypeBool, Levels: []Level{LevelShare, LevelService, LevelAccount},
+		Key: KeyEvacuated, Type: TypeBool, Levels: []Level{LevelZone}, Default: "no",
+		Doc: "whether the partner's entries send no new work to targets in the availability zone",
+	},
+	{
+		Key: KeyDelete, Type: TypeBool, Levels: []Level{LevelShare, LevelService, LevelAccount, LevelZone},
 		Default: "no", Doc: "yes removes the section",
 	},
 }
--- a/settings/section.go
+++ b/settings/section.go
@@ -29,9 +29,10 @@
 	LevelPartner
 	LevelService
 	LevelAccount
+	LevelZone
 )
 
-var levelWords = [...]string{"root", "share", "partner", "service", "account"}
+var levelWords = [...]string{"root", "share", "partner", "service", "account", "zone"}
 
 // String returns the word that starts a section's name.
 func (l Level) String() string { return levelWords[l] }
--- a/settings/view.go
+++ b/settings/view.go
@@ -153,6 +153,11 @@
 	return setting.Number
 }
 
+// Evacuated reports whether a partner sends no new work to targets in an availability zone.
+func (t *Tree) Evacuated(p graniteknot.Partner, z graniteknot.AvailabilityZone) bool {
+	return t.number(SectionID{Branch: Branch(p), Level: LevelZone, Name: string(z)}, KeyEvacuated) == 1
+}
+
 // Serves tells whether the agent at an address is among the targets.
 func (s *ServiceView) Serves(a graniteknot.Address) bool { return slices.Contains(s.Targets, a) }
 
