presence: a restart does not have all processes fetch all members

Cause: the digest of the members held their incarnations, so after each restart every process fetched the records of all from a relay, and ignored that of the restarted one, which writes no new record.

Change: the digest is of boxes, roles, zones and addresses.

Result: TestRestartLeavesDigest; a member that moves or is new changes the digest as before.

--- a/internal/core/presence/view.go
+++ b/internal/core/presence/view.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -31,7 +31,7 @@
 	// gateways are the peers that are gateways, by boxHash. Of two with the same hash it
 	// holds the one that was put last.
 	gateways map[uint32]*peer
-	// digest combines the incarnationHash of all peers.
+	// digest combines the memberHash of all peers.
 	digest uint64
 	// configVersion is the newest configuration version that a member reported. It never
 	// decreases, as versions do not.
@@ -99,7 +99,7 @@
 	// A new member counts as ready until its first datagram is overdue.
 	p := &peer{Member: m, position: at, ready: true, lastHeard: now.Add(firstHeartbeatTimeout - heartbeatTimeout)}
 	v.peers[m.Box] = p
-	v.digest ^= incarnationHash(&m)
+	v.digest ^= memberHash(&m)
 	if m.Role == RoleGateway {
 		if v.gateways == nil {
 			v.gateways = map[uint32]*peer{}
@@ -116,26 +116,29 @@
 		return
 	}
 	delete(v.peers, box)
-	v.digest ^= incarnationHash(&p.Member)
+	v.digest ^= memberHash(&p.Member)
 	if v.gateways[boxHash(box)] == p {
 		delete(v.gateways, boxHash(box))
 	}
 }
 
-// Digest returns a hash of all known members and their incarnations, the own one included. It
-// is the same for all processes that know the same.
+// Digest returns a hash of all known members, the own one included, but not of their incarnations.
+// It is the same for all processes that know the same.
 func (v *View) Digest(self Member) uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	out := v.digest ^ incarnationHash(&self)
+	out := v.digest ^ memberHash(&self)
 	if p := v.peers[self.Box]; p != nil {
-		out ^= incarnationHash(&p.Member)
+		out ^= memberHash(&p.Member)
 	}
 	return out
 }
 
-func incarnationHash(m *Member) uint64 {
-	return xxhash.Sum64String(string(m.Box) + "\x00" + strconv.FormatUint(uint64(m.Incarnation), 10))
+// memberHash is a member's part of the digest. It does not depend on the incarnation: a process that
+// restarts at the same addresses writes no record, and its datagrams tell the incarnation.
+func memberHash(m *Member) uint64 {
+	parts := []string{string(m.Box), string(m.Role), string(m.Zone), string(m.PeerAddress), string(m.RequestAddress), string(m.Target)}
+	return xxhash.Sum64String(strings.Join(parts, "\x00"))
 }
 
 // records returns the records of all members, the own one included, ordered by box.
--- a/internal/core/presence/view_test.go
+++ b/internal/core/presence/view_test.go
@@ -134,3 +134,28 @@
 		}
 	})
 }
+
+// TestRestartLeavesDigest checks that a member that restarts at its addresses does not have all
+// others fetch the members anew, and that one that moves does.
+func TestRestartLeavesDigest(t *testing.T) {
+	now, view, self := time.Now(), &presence.View{}, member("self", 1)
+	view.PutRecord(member("a", 1), 1, now)
+	view.PutRecord(member("b", 1), 2, now)
+	before := view.Digest(self)
+	restarted := member("a", 2)
+	if !view.ApplyMessage(&presence.Message{Box: "a", Self: &restarted, Ready: true}, now) || view.Digest(self) != before {
+		t.Error("the digest depends on the incarnation")
+	}
+	moved := member("a", 3)
+	moved.PeerAddress = "10.9.9.9:1"
+	view.PutRecord(moved, 5, now)
+	if view.Digest(self) == before {
+		t.Error("the digest does not depend on the address")
+	}
+	view.Remove("b")
+	view.PutRecord(restarted, 6, now)
+	view.PutRecord(member("b", 7), 7, now)
+	if view.Digest(self) != before {
+		t.Error("the digest depends on the order")
+	}
+}
