--- a/internal/core/dev/cluster_test.go
+++ b/internal/core/dev/cluster_test.go
@@ -17,7 +17,6 @@
 )
 
 // newCluster starts a cluster that ends with the test.
-
 func newCluster(tb testing.TB, o dev.Options) *dev.Cluster {
 	tb.Helper()
 	ctx := context.Background()
@@ -33,7 +32,6 @@
 }
 
 // get makes one call and returns how long it took until its end.
-
 func get(tb testing.TB, client *http.Client, url, key string, body []byte) time.Duration {
 	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -54,21 +52,7 @@
 	return time.Since(begun)
 }
 
-// BenchmarkAddedLatency sends a thousand calls a second, in turn straight to an
-
-// engine and through entry and agent, and reports what the way adds.
-
-// TestManyStreams opens 3,700 streams at one entry, so that 3,400 are held at
-
-// once when the first have ended, one of them with a reader
-
-// that does not read, and bounds what a stream costs; the figure is of entry,
-// agents, engines and callers together.
-
-// heldAt is how many requests an entry holds now.
-
 // readVars reads a process's counters.
-
 func readVars(t *testing.T, a graniteknot.Address, v any) {
 	response, err := http.Get("http://" + string(a) + "/debug/vars")
 	if err != nil {
@@ -81,8 +65,6 @@
 	}
 }
 
-// inUse is the memory of heap and stacks in use.
-
 func open(t *testing.T, client *http.Client, url, key string, body []byte) *http.Response {
 	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -98,11 +80,8 @@
 	return response
 }
 
-// TestDayKeepsItsPromises plays a short day, and kills an agent and an entry in
-// it: nothing is lost, doubled or mixed up, and no word is untrue.
-
-// learns the tree from its peers, and serves.
-
+// TestNewBoxWhileTheLogIsDown checks that a box that keeps nothing and can't reach the log learns
+// the tree from its peers, and serves.
 func TestNewBoxWhileTheLogIsDown(t *testing.T) {
 	ctx := context.Background()
 	c := newCluster(t, dev.Options{})
@@ -119,25 +98,8 @@
 	get(t, http.DefaultClient, "http://"+string(p.Config.Listen)+"/v1/completions", c.Partners[0].Keys[0], body)
 }
 
-// TestReaderThatDoesNotRead: a caller that takes nothing of a long answer is let
-
-// go after the deadline, and its place is free again.
-
-// TestPlannedStopsOfAgents stops an engine's agent and a plain service's in a
-
-// planned way in the middle of a day: nothing is cut off, and nobody is told
-// "unknown".
-
-// before the agent it names began to stop, and comes late in that answer's life,
-
-// is told "not-run", not "unknown".
-
-// no new work once the list shows it.
-
 // TestVersionIsOrdered publishes a version for the shared pool while calls flow:
-
 // every engine gets it, and no call fails.
-
 func TestVersionIsOrdered(t *testing.T) {
 	ctx := context.Background()
 	c := newCluster(t, dev.Options{})
@@ -165,11 +127,3 @@
 		t.Error("not every engine was given the version")
 	}
 }
-
-// BenchmarkIdleControl lets clusters of growing size run without traffic, and
-
-// reports what control costs each process: processor time, bytes that others
-
-// brought and took, and memory.
-
-// processorTime is what this program used so far.
--- a/internal/core/dev/day_test.go
+++ b/internal/core/dev/day_test.go
@@ -42,8 +42,6 @@
 	}
 }
 
-// TestNewBoxWhileTheLogIsDown: a box that keeps nothing and can't reach the log
-
 func TestDeathsWhileTheLogIsDown(t *testing.T) {
 	c := newCluster(t, dev.Options{})
 	c.Log.Set(logstore.Faults{Down: true})
@@ -88,8 +86,9 @@
 	}
 }
 
-// TestQuietCallerAfterAPlannedStop: a caller that took its key's beginning just
-
+// TestQuietCallerAfterAPlannedStop checks that a caller that took its key prefix just before the
+// agent that it names began to stop, and comes late in the life of that answer, is told
+// "not-run", not "unknown".
 func TestQuietCallerAfterAPlannedStop(t *testing.T) {
 	ctx, cut := context.WithCancel(context.Background())
 	defer cut()
@@ -121,8 +120,8 @@
 	stops.Wait()
 }
 
-// TestListSaysLeaving: a target that only the platform's list calls leaving gets
-
+// TestListSaysLeaving checks that a target that only the platform's list calls leaving gets no new
+// work once the list shows it.
 func TestListSaysLeaving(t *testing.T) {
 	c := newCluster(t, dev.Options{EngineStep: -1})
 	p, leaving := c.Partners[0], c.Model[0].Config
