conns: an aborted request resets its connection

Cause: an abort closed the connection, and bytes that a cut or a machine at rest held up were still delivered, up to silentTime later, after the caller had left.

Change: an abort resets.

Result: TestAbortResets; without the change the replica reads an orderly end.

--- a/internal/core/conns/conn.go
+++ b/internal/core/conns/conn.go
@@ -44,8 +44,15 @@
 	Mine func(http.Header) bool
 }
 
-// Abort makes what is done on the connection fail; others may call it.
-func (c *Conn) Abort() { _ = c.net.Close() }
+// Abort makes what is done on the connection fail; others may call it. It resets the connection:
+// after a plain close, bytes of a request that the network holds up would still reach the replica.
+func (c *Conn) Abort() {
+	if tcp, ok := c.net.(interface{ SetLinger(seconds int) error }); ok {
+		// A connection that has ended already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.net.Close()
+}
 
 // Do sends a request and reads the head of its answer. The body must be read,
 // and the connection given back, by the caller.
