gateway: readers that are busy are not replaced by all gateways

Change: a gateway that is not a reader goes on with its records while they are no older than it would accept from a reader, and asks the next one.

--- a/internal/core/gateway/revalidate.go
+++ b/internal/core/gateway/revalidate.go
@@ -100,7 +100,7 @@
 	maxAge := g.maxAnswerAge(queryReplicas)
 	c, ok := g.askUntilRead(ctx, peers, queryReplicas, maxAge)
 	if !ok {
-		return !g.shouldCallStore(queryReplicas, c.answered, g.Clock.Now())
+		return g.replicasRecent(maxAge) || !g.shouldCallStore(queryReplicas, c.answered, g.Clock.Now())
 	}
 	if c.StoreHealthy {
 		g.Health.RecordPeerRead(c.asOf)
@@ -117,10 +117,22 @@
 	}
 	records, ok := g.fetchRecords(ctx, &c, queryReplicasPart)
 	if !ok {
-		return false
+		g.freshness.prefer(g.freshness.preferredReader() + 1)
+		return g.replicasRecent(maxAge)
 	}
+	// The records may be newer than the state that the reader confirmed.
 	g.applyPeerReplicas(records, c.asOf)
-	return c.State == uint64(g.Fleet.Digest())
+	return true
+}
+
+// replicasRecent reports whether a gateway that is not a reader need not read the replica records
+// itself, although no reader provides them: until the next query they are no older than an answer may
+// be. Otherwise all gateways would read them from the store whenever the readers are too busy, as
+// when many replicas start.
+func (g *Gateway) replicasRecent(maxAge time.Duration) bool {
+	now := g.Clock.Now()
+	age, read := g.freshness.age(now)
+	return read && age+revalidatePause < maxAge && g.usesReaders(now) && !g.isReader(now)
 }
 
 // fetchRecords fetches the records of a reader whose state differs. Otherwise nearly all gateways
--- a/internal/core/gateway/store_way_test.go
+++ b/internal/core/gateway/store_way_test.go
@@ -33,6 +33,8 @@
 	// took is how long an answer takes beside what it waited for.
 	took  time.Duration
 	calls int
+	// replicaReads are those of them that read the replicas' records.
+	replicaReads int
 	// changed is closed when the access changes.
 	changed chan struct{}
 }
@@ -69,6 +71,9 @@
 	defer cancel()
 	w.mu.Lock()
 	w.calls++
+	if t == graniteknot.TopicReplicas {
+		w.replicaReads++
+	}
 	how, took, changed := w.access, w.took, w.changed
 	w.mu.Unlock()
 	if how == accessHung {
