fleet: a request that leaves a silent replica goes to one that was heard of late

Cause: boxes that freeze together are noticed one after the other, by up to half a second, since their last reports are of different ages.

Change: a request that has left a replica is sent to those that were heard within half of the time after which they count as silent, if there are any.

Result: TestRerouteAvoidsBoxesThatFailedTogether fails before.

--- a/internal/core/fleet/queue.go
+++ b/internal/core/fleet/queue.go
@@ -162,6 +162,9 @@
 	for i := range states {
 		available = append(available, states[i].availableEngines(q, max(1, t.gateways), waiting)...)
 	}
+	if len(q.Tried) > 0 {
+		available = recentlyHeard(available, q.Now)
+	}
 	return leastCost(addPermitted(t.sample(q.Service.Name, available, q.Now), available), q, states)
 }
 
--- a/internal/core/fleet/silence.go
+++ b/internal/core/fleet/silence.go
@@ -125,6 +125,22 @@
 	return !heard.IsZero() && now.Sub(heard) > t.silenceLimit && now.Sub(othersHeard) < time.Duration(othersHeardDigests*float64(period))
 }
 
+// recentlyHeard returns those of the replicas that were heard within half of the time after which
+// they count as silent, or all if none was. A request that has left a silent replica goes to one of
+// these: boxes often fail together, and some of those that did are noticed earlier than others.
+func recentlyHeard(list []*target, now time.Time) []*target {
+	var recent []*target
+	for _, x := range list {
+		if heard := x.lastHeard(); heard.IsZero() || now.Sub(heard) <= x.silenceLimit/2 {
+			recent = append(recent, x)
+		}
+	}
+	if len(recent) == 0 {
+		return list
+	}
+	return recent
+}
+
 // streaming reports whether a response from the target has started, so that an event
 // is due with each pass.
 func (t *target) streaming() bool {
--- a/internal/core/fleet/silence_test.go
+++ b/internal/core/fleet/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/internal/core/fleet"
 )
@@ -174,3 +175,39 @@
 		t.Errorf("%+v, %d to be rerouted", changed, len(toReroute))
 	}
 }
+
+// TestRerouteAvoidsBoxesThatFailedTogether freezes two of four boxes, one of which reported a little
+// later than the other: a request that leaves the first goes to none that may be frozen too.
+func TestRerouteAvoidsBoxesThatFailedTogether(t *testing.T) {
+	for range 20 {
+		table := newTable("a", "b", "c", "d")
+		now := time.Now()
+		report := func(ids ...graniteknot.Address) {
+			for _, id := range ids {
+				table.Report(id, fleet.Load{Taken: now, Pace: 1, Pass: 40 * time.Millisecond})
+			}
+		}
+		report("a", "b", "c", "d")
+		now = now.Add(200 * time.Millisecond)
+		report("b", "c", "d")
+		// From here on a and b are frozen.
+		for range 4 {
+			now = now.Add(120 * time.Millisecond)
+			report("c", "d")
+		}
+		changed, _ := table.Sweep(now)
+		if len(changed) != 1 || changed[0].Replica != "a" {
+			t.Fatalf("silent: %+v", changed)
+		}
+		q := &fleet.Query{Service: engineService, Now: now, Tried: []catalog.Life{{ID: "a"}}}
+		l := table.Acquire(t.Context(), q, fleet.WaitBounds{FirstEventBy: now, GiveUpAt: now})
+		if l == nil || l.Replica.ID == "b" {
+			t.Fatalf("rerouted to %v", l)
+		}
+		// If none was heard, any is better than none.
+		q.Tried = []catalog.Life{{ID: "a"}, {ID: "c"}, {ID: "d"}}
+		if l := table.Acquire(t.Context(), q, fleet.WaitBounds{FirstEventBy: now, GiveUpAt: now}); l == nil || l.Replica.ID != "b" {
+			t.Fatalf("with only b left: %v", l)
+		}
+	}
+}
