--- a/claim/doc.go
+++ b/claim/doc.go
@@ -8,8 +8,8 @@
 //     been run by a former life, and is taken unless it is older than the
 //     window in which keys are remembered.
 //   - A key that carries only a time is taken when that time lies after the
-//     authority's birth by more than Future plus Skew. A former life refused
-//     keys from further ahead than Future, so it can't have run this one,
+//     authority's birth by more than MaxKeyAhead plus MaxClockSkew. A former life refused
+//     keys from further ahead than MaxKeyAhead, so it can't have run this one,
 //     whatever the caller's clock says.
 //   - A key without either is taken once the authority is older than the
 //     window.
--- a/claim/table.go
+++ b/claim/table.go
@@ -56,7 +56,7 @@
 	MaxRecords int
 
 	mu sync.Mutex
-	// records never holds more than Limit and a quarter.
+	// records never holds more than MaxRecords and a quarter.
 	records map[ID]record
 	// wheel holds the ids to look at again, by the time slot of their forget.
 	wheel wheel
--- a/expertmap/doc.go
+++ b/expertmap/doc.go
@@ -14,7 +14,7 @@
 // replaced by one that knows nothing, the keeper forms the group anew under the
 // next group number: ranks halt, and go on together once all are ready.
 //
-// Keeper and Rank are state machines: messages in, messages out. Any message
+// Coordinator and Rank are state machines: messages in, messages out. Any message
 // may be lost, late, doubled or reordered; Tick sends again what is not
 // answered. Carrying messages, and loading weights, is left to the callers. No
 // log and no settings are on this path.
--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -32,39 +32,39 @@
 type Decision struct {
 	Phase  Phase
 	Orders []Order
-	// ReleasedStep, if it is not Never, is a held step that the orders let begin
+	// ReleasedStep, if it is not NoStep, is a held step that the orders let begin
 	// although no rank is armed for it.
 	ReleasedStep graniteknot.Step
 }
 
-// CoordinatorState is what the keeper would like.
+// CoordinatorState is the state that the coordinator wants and what it has asked for so far.
 type CoordinatorState struct {
 	// NewVersion is the map to switch to; 0 for none.
 	NewVersion Version
-	// OwnRank is the keeper's own rank. It is armed last, so that while another one is
+	// OwnRank is the coordinator's own rank. It is armed last, so that while another one is
 	// not armed everybody knows that it is not either.
 	OwnRank graniteknot.Rank
 	// HoldRank is the rank that holds, and Lead how many steps ahead. It is not the
-	// keeper's own where the group has others: if the keeper's box stops, another
-	// keeper can still reach what it held.
+	// coordinator's own where the group has others: if the coordinator's box stops, another
+	// coordinator can still reach what it held.
 	HoldRank graniteknot.Rank
 	Lead     graniteknot.Step
-	// HoldStep is the step that the keeper asked to hold and has not seen passed;
-	// Never for none. The same step is asked for until then, since the order may
+	// HoldStep is the step that the coordinator asked to hold and has not seen passed;
+	// NoStep for none. The same step is asked for until then, since the order may
 	// be carried out late.
 	HoldStep graniteknot.Step
-	// ArmStep is the step that the keeper has sent the first arm for and has not
-	// seen passed; Never for none. It does not change until then, so that all
+	// ArmStep is the step that the coordinator has sent the first arm for and has not
+	// seen passed; NoStep for none. It does not change until then, so that all
 	// ranks are armed for the same step.
 	ArmStep graniteknot.Step
-	// ReleasedStep is the step that the keeper has let begin without arming and has not
-	// seen begun; Never for none. Until then nothing is armed, since the order to
+	// ReleasedStep is the step that the coordinator has let begin without arming and has not
+	// seen begun; NoStep for none. Until then nothing is armed, since the order to
 	// go may be carried out late, before all ranks are armed.
 	ReleasedStep graniteknot.Step
 }
 
 // Decide returns the orders that all ranks' states ask for. The states must have
-// been read under the keeper's fence.
+// been read under the coordinator's fence.
 func Decide(states []State, w CoordinatorState) Decision {
 	g, whole := sum(states)
 	if !whole {
@@ -129,7 +129,7 @@
 	return d
 }
 
-// rollForward arms all ranks, the keeper's own last, and then lets the step
+// rollForward arms all ranks, the coordinator's own last, and then lets the step
 // begin.
 func (g *group) rollForward(states []State, v Version, at graniteknot.Step, own graniteknot.Rank) Decision {
 	d := Decision{Phase: PhaseArming}
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -16,7 +16,7 @@
 	prepared Version
 	armed    Version
 	armedAt  graniteknot.Step
-	// held is the first step that any rank holds; Never for none.
+	// held is the first step that any rank holds; NoStep for none.
 	held graniteknot.Step
 	// lastHeld is the last such step.
 	lastHeld graniteknot.Step
--- a/expertmap/held/state.go
+++ b/expertmap/held/state.go
@@ -25,7 +25,7 @@
 	// Armed, if not 0, takes force as ArmedAt begins.
 	Armed   Version
 	ArmedAt graniteknot.Step
-	// Held is the step that the rank does not begin; Never for none.
+	// Held is the step that the rank does not begin; NoStep for none.
 	Held graniteknot.Step
 	// HasRequests tells that the rank has requests, so that its group begins passes.
 	HasRequests bool
@@ -42,7 +42,7 @@
 	KindHold
 	// KindArm brings a prepared map into force as a step begins.
 	KindArm
-	// KindRelease lets a held step begin. For step Never it does nothing but make the
+	// KindRelease lets a held step begin. For step NoStep it does nothing but make the
 	// rank know the keeper's fence.
 	KindRelease
 )
--- a/expertmap/message.go
+++ b/expertmap/message.go
@@ -36,7 +36,7 @@
 	KindState
 	// KindReady answers KindReset once the weights are loaded.
 	KindReady
-	// KindResumed answers KindGo.
+	// KindResumed answers KindResume.
 	KindResumed
 	// KindLoaded answers KindLoad once the weights are loaded.
 	KindLoaded
@@ -47,7 +47,7 @@
 	// KindCommitted and KindAborted answer the keeper's word.
 	KindCommitted
 	KindAborted
-	// KindStaleCoordinator answers a keeper that began before the rank's present life.
+	// KindStaleCoordinator answers a coordinator that began before the rank's present life.
 	KindStaleCoordinator
 )
 
@@ -77,7 +77,7 @@
 	State State
 	// NextStep is the rank's next step, in every answer.
 	NextStep graniteknot.Step
-	// RankIncarnation is set in KindStranger.
+	// RankIncarnation is set in KindStaleCoordinator.
 	RankIncarnation graniteknot.Incarnation
 }
 
@@ -86,7 +86,7 @@
 	// Epoch is 0 for a rank that knows nothing.
 	Epoch   Epoch
 	Current Version
-	// Halted ranks run nothing until KindGo.
+	// Halted ranks run nothing until KindResume.
 	Halted bool
 	// Armed, if not 0, is the map that the rank holds for at step ArmedAt.
 	Armed     Version
--- a/expertmap/rank.go
+++ b/expertmap/rank.go
@@ -7,7 +7,7 @@
 type Rank struct {
 	ID graniteknot.Rank
 	// Incarnation is this life of the rank: its start time, plus what clocks may
-	// differ by. Keepers that began before know only a former life; what they
+	// differ by. Coordinators that began before know only a former life; what they
 	// sent it must not be taken by this one, so only later keepers are followed.
 	Incarnation graniteknot.Incarnation
 
