--- a/internal/core/fleet/evacuation.go
+++ b/internal/core/fleet/evacuation.go
@@ -42,3 +42,6 @@
 	}
 	delete(t.queues, s)
 }
+
+// closed reports whether the replica gets no requests for a time that it doesn't state.
+func (t *target) closed() bool { return t.ending() || t.evacuated }
--- a/internal/core/fleet/feedback.go
+++ b/internal/core/fleet/feedback.go
@@ -203,9 +203,6 @@
 // resort.
 func (t *target) excluded(now time.Time) bool { return t.closed() || t.backingOff(now) }
 
-// closed reports whether the replica gets no requests for a time that it doesn't state.
-func (t *target) closed() bool { return t.ending() || t.evacuated }
-
 // confirming reports whether a request is in flight that probes the replica after its
 // backoff. Otherwise all queued requests would be sent at once and refused again.
 func (t *target) confirming() bool { return t.life != nil && t.life.unconfirmed && t.probing }
--- a/internal/core/fleet/table.go
+++ b/internal/core/fleet/table.go
@@ -7,7 +7,6 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
-	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/quota"
 )
 
@@ -166,47 +165,6 @@
 	t.remove(old.replica.ID)
 }
 
-// changeAddress moves a target to another address in the index.
-func (t *Table) changeAddress(x *target, to graniteknot.Address) {
-	from := x.replica.Address
-	t.unindexAddress(from, x)
-	t.indexAddress(to, x)
-	t.resolveAddress(from)
-}
-
-// indexAddress adds a target to the index by address.
-func (t *Table) indexAddress(a graniteknot.Address, x *target) {
-	t.addresses[a] = append(t.addresses[a], x)
-	if t.addressHashes == nil {
-		t.addressHashes = map[uint32]graniteknot.Address{}
-	}
-	t.addressHashes[presence.TargetHash(a)] = a
-}
-
-// unindexAddress removes a target from the index by address.
-func (t *Table) unindexAddress(a graniteknot.Address, x *target) {
-	t.addresses[a] = without(t.addresses[a], x)
-	if len(t.addresses[a]) == 0 {
-		delete(t.addresses, a)
-		delete(t.addressHashes, presence.TargetHash(a))
-	}
-}
-
-// resolveAddress marks all replicas registered at an address but the one that wrote
-// last as having lost it.
-func (t *Table) resolveAddress(a graniteknot.Address) {
-	var newest *target
-	for _, x := range t.addresses[a] {
-		if newest == nil || x.replica.Written > newest.replica.Written {
-			newest = x
-		}
-	}
-	for _, x := range t.addresses[a] {
-		x.addressTaken = x != newest
-	}
-	t.markSuperseded(a)
-}
-
 // Remove removes a replica whose record is gone.
 func (t *Table) Remove(id catalog.ReplicaID) bool {
 	t.mu.Lock()
@@ -290,38 +248,6 @@
 	return out
 }
 
-// Report updates the load of the replica at an address.
-func (t *Table) Report(a graniteknot.Address, l Load) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.noteReportedLife(a, l.Life, l.Taken)
-	for _, x := range t.addresses[a] {
-		if l.Taken.After(x.load.Taken) && !x.superseded {
-			x.load = l
-			t.serveQueue(x.replica.Service, l.Taken)
-		}
-	}
-}
-
-// RepeatReports records that the replicas at addresses with the given hashes still have the load
-// that another gateway relayed last, as of a time. A replica without a report has to wait for a
-// full one.
-func (t *Table) RepeatReports(hashes []uint32, taken time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, hash := range hashes {
-		a := t.addressHashes[hash]
-		for _, x := range t.addresses[a] {
-			if !x.load.Taken.IsZero() && taken.After(x.load.Taken) && !x.superseded {
-				x.load.Taken, x.load.Relayed = taken, true
-			}
-		}
-	}
-	for s := range t.queues {
-		t.serveQueue(s, taken)
-	}
-}
-
 // Count returns how many replicas a service has and how many of them are usable.
 func (t *Table) Count(s graniteknot.Service, now time.Time) (all, usable int) {
 	t.mu.Lock()
--- a/internal/core/gateway/follow.go
+++ b/internal/core/gateway/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"time"
 
@@ -225,32 +224,6 @@
 	}
 }
 
-// parseReplica parses a replica's record, and adds its service's warm-up rate. A record of a service that the configuration does not
-// contain is an error: it could otherwise replace another replica at the same address.
-func (g *Gateway) parseReplica(r graniteknot.KeyedRecord) (catalog.Replica, error) {
-	replica, err := g.Translator.Replica(r)
-	if err != nil {
-		return replica, err
-	}
-	tree, _ := g.Catalog.Current(g.Clock.Now())
-	if tree == nil {
-		return replica, nil
-	}
-	service := tree.Service(replica.Service)
-	if service == nil {
-		return replica, fmt.Errorf("service %.80q is not configured", replica.Service)
-	}
-	replica.WarmupRate = service.WarmupRate
-	return replica, nil
-}
-
-// reportMalformed counts an unusable record and logs it at a limited rate, since a writer to the
-// store can write any number of them.
-func (g *Gateway) reportMalformed(what string, r graniteknot.KeyedRecord, err error) {
-	g.Meter.Count("graniteknot_malformed_records_total", meter.Label{Name: "record", Value: what})
-	g.malformedLog.Warn(g.Log, "malformed "+what, r.Key, err.Error(), slog.Int64("position", r.At.Offset()))
-}
-
 // handleVanished handles a replica record that has vanished. During a store outage, and shortly
 // after, records also expire of replicas that are alive and will write them again.
 func (g *Gateway) handleVanished(id catalog.ReplicaID) {
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -256,15 +256,6 @@
 	f.Health.EndCall(f.Topic, answered, latency)
 }
 
-// handleRestore handles the restore of the store from an older copy. Records that it lacks may be
-// rewritten soon, as after an outage.
-func (f *Follower) handleRestore(era graniteknot.Era) {
-	f.Health.RecordRestore(f.Topic, f.position, era, f.Clock.Now())
-	if f.OnRestore != nil {
-		f.OnRestore(era)
-	}
-}
-
 // pollWait returns how long a read waits for a record. After a failed call it is 0: a call to an
 // unavailable store times out after its wait and a margin, and one that starts just before the
 // store's return would delay the next records for that long.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -32,7 +32,7 @@
 		Package: "expertmap", Test: "TestSwitchesThatFollowClosely", Says: "ran with maps",
 	},
 	{
-		Name: "replicas of evacuated zones get requests", File: "internal/core/fleet/feedback.go",
+		Name: "replicas of evacuated zones get requests", File: "internal/core/fleet/evacuation.go",
 		Old: "return t.ending() || t.evacuated }", New: "return t.ending() }",
 		Package: "internal/core/fleet", Test: "TestEvacuatedReplicaIsNeverChosen",
 	},
