presence: replicas of the relays' tests run four requests again

The play of changing loads had them begin with none, so that TestRelays measured shorter reports than before.

--- a/internal/core/presence/relay_test.go
+++ b/internal/core/presence/relay_test.go
@@ -64,7 +64,7 @@
 	d := &deployment{t: t, now: time.Now(), all: map[graniteknot.Address]*process{}, random: rand.New(rand.NewPCG(1, 1))}
 	zones := []graniteknot.AvailabilityZone{"a", "b", "c", "d", "e"}
 	add := func(role presence.Role, i int) *process {
-		p := &process{reported: map[graniteknot.Address]time.Time{}, targets: map[uint32]graniteknot.Address{}, running: map[graniteknot.Address]int{}, Member: presence.Member{
+		p := &process{load: 4, reported: map[graniteknot.Address]time.Time{}, targets: map[uint32]graniteknot.Address{}, running: map[graniteknot.Address]int{}, Member: presence.Member{
 			Box: graniteknot.BoxName(fmt.Sprintf("%s-%d", role, i)), Role: role, Zone: zones[i%len(zones)], Incarnation: graniteknot.Incarnation(i + 1),
 			PeerAddress: graniteknot.Address(fmt.Sprintf("10.0.%d.%d:7000", len(d.all)/200, len(d.all)%200+1)),
 		}}
