forward, platform: crashes are logged with the parts of the prompt

Cause: a replica ended line tells path, account and body's identity. Whether the requests under which replicas ended have a part of their prompts in common, or came by chance, could not be told apart. No decision uses them.

--- a/internal/core/forward/crash.go
+++ b/internal/core/forward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -86,13 +87,12 @@
 	})
 	recorded := make(chan struct{})
 	replica := l.Replica
-	// A lock-step group stalls for as long as one of its ranks is missing.
-	suspect := replica.Group != "" && !l.ResponseStarted()
+	started := l.ResponseStarted()
 	f.crashes.background.Go(func(context.Context) {
 		defer close(recorded)
 		<-probe.done
 		if probe.crashed {
-			f.recordCrash(r.request, key, &replica, suspect)
+			f.recordCrash(r.request, key, &replica, started)
 		}
 	})
 	timer := time.NewTimer(probeWait)
@@ -104,12 +104,24 @@
 	}
 }
 
+// formatParts returns the parts separated by commas.
+func formatParts(parts []PromptPart) string {
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = p.String()
+	}
+	return strings.Join(out, ",")
+}
+
 // recordCrash records and logs that a replica crashed while it worked on a request.
-func (f *Forwarder) recordCrash(request *RoutedRequest, key quarantine.Key, replica *catalog.Replica, suspect bool) {
+func (f *Forwarder) recordCrash(request *RoutedRequest, key quarantine.Key, replica *catalog.Replica, started bool) {
+	// A lock-step group stalls for as long as one of its ranks is missing.
+	suspect := replica.Group != "" && !started
 	f.Meter.Count("graniteknot_answers_lost_with_replica_total", meter.Label{Name: "service", Value: string(replica.Service)})
 	fields := []slog.Attr{
 		slog.String("request", string(request.ID)), slog.String("identity", key.String()), slog.String("replica", replica.Life().String()),
 		slog.String("address", string(replica.Address)), slog.String("path", request.Path),
+		slog.String("model", request.Model), slog.String("parts", formatParts(request.PromptParts)), slog.Bool("response_started", started),
 	}
 	if request.Account != nil {
 		fields = append(fields, slog.String("account", string(request.Account.Name)))
--- a/internal/core/forward/crash_test.go
+++ b/internal/core/forward/crash_test.go
@@ -11,6 +11,7 @@
 
 	"graniteknot.org/go/catalog"
 	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/forward"
 	"graniteknot.org/go/platform/platformtest"
 )
 
@@ -45,7 +46,7 @@
 }
 
 // TestReplicaCrashIsLogged checks that the log tells a crash of a replica from a lost response,
-// and identifies a request under different IDs.
+// identifies a request under different IDs, and tells what its prompt consists of.
 func TestReplicaCrashIsLogged(t *testing.T) {
 	cases := map[string]struct {
 		script  platformtest.Script
@@ -61,6 +62,7 @@
 		lines := eventlog.NewWriter(out)
 		r := newFixture(t, catalog.KindRepeatable, c.script, platformtest.Answer("second"))
 		r.forwarder.Log = eventlog.New(lines, "b", "gateway")
+		r.request.Model, r.request.PromptParts = "m", []forward.PromptPart{{ID: "5c", Tokens: 800}, {ID: "91", Tokens: 410}}
 		r.do(context.Background())
 		r.forwarder.Stop()
 		lines.Close(time.Second)
@@ -69,7 +71,8 @@
 			t.Errorf("%s: %d crashes logged: %v", name, len(crashes), crashes)
 		}
 		for _, line := range crashes {
-			if line["replica"] != "i-0" || line["account"] != "desk" || line["path"] != "/p/x" {
+			if line["replica"] != "i-0" || line["account"] != "desk" || line["path"] != "/p/x" ||
+				line["model"] != "m" || line["parts"] != "5c:800,91:410" || line["response_started"] != false {
 				t.Errorf("%s: logged as %v", name, line)
 			}
 		}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -26,10 +27,28 @@
 	LastEventID EventID
 	// Size is zero if the client sent none.
 	Size catalog.Size
+	// Model names the model that the client asks for; empty if it names none.
+	Model string
+	// PromptParts are the parts of the prompt that other requests may share, in order; at most
+	// MaxPromptParts.
+	PromptParts []PromptPart
 	// LengthHint is the client's estimate of the response's length; 0 for none.
 	LengthHint graniteknot.Tokens
 }
 
+// MaxPromptParts is how many parts of a prompt are considered.
+const MaxPromptParts = 64
+
+// PromptPart identifies a part of a prompt by its hash and length.
+type PromptPart struct {
+	// ID is in lower-case hex digits.
+	ID     string
+	Tokens uint32
+}
+
+// String returns the form used in logs.
+func (p PromptPart) String() string { return fmt.Sprintf("%s:%d", p.ID, p.Tokens) }
+
 // EventID identifies an event of a stream; replicas define its format.
 type EventID string
 
