quarantine: parts of prompts that crash replicas are kept from them

What callers saw: requests with one part in their prompts, no two alike, crashed replica after replica, and all generations of a lock-step group were refused for 35 s at a time. Cause: what crashes replicas was known by path, account and body of a request. The cause is one part of the prompt, so each request was a new one and nothing was ever known. Change: each crash is also recorded under the model and each part of the prompt but the last, in the same table and by the same replication. A part is quarantined after three crashes that no other quarantined part explains and after which no replica has outlived a request with it; after five and a second if replicas served it before. A framed response, or a stream that breaks off half a second after its first event at a replica that still listens, clears the part of the crashes so far, at all gateways. Who knows something in favor of a part tells it within 0.4 s unless another one did. One request in the fleet tries a quarantined part after 2 min, 8 min and so on. Requests that wait are refused as a part becomes known, also if it was unknown as they began to. Why it works: a part that crashes whoever begins it is at each crash and never outlived; sound parts that were there by chance are outlived elsewhere, or explained by the quarantined part.

--- /dev/null
+++ b/internal/core/conns/probe.go
@@ -0,0 +1,51 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	graniteknot "graniteknot.org/go"
+)
+
+// ListenState is whether a process listens at an address.
+type ListenState uint8
+
+const (
+	// ListenStateUnknown means that a connection was neither opened nor refused in time.
+	ListenStateUnknown ListenState = iota
+	// ListenStateOpen means that a process accepts connections.
+	ListenStateOpen
+	// ListenStateRefused means that no process listens.
+	ListenStateRefused
+)
+
+// Probe opens a new connection to an address to find out whether a process listens there. A
+// connection that is accepted is kept for the next request.
+func (p *Pool) Probe(ctx context.Context, a graniteknot.Address, limit int) ListenState {
+	if !p.reserve(a, limit) {
+		return ListenStateUnknown
+	}
+	c, err := p.dial(ctx, a)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ListenStateRefused
+	}
+	if err != nil {
+		return ListenStateUnknown
+	}
+	p.Put(a, c)
+	return ListenStateOpen
+}
+
+// reserve counts a connection that is about to be opened; false if too many are open.
+func (p *Pool) reserve(a graniteknot.Address, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(a)
+	if limit > 0 && h.open >= limit {
+		return false
+	}
+	h.open++
+	p.opened++
+	return true
+}
--- a/internal/core/explain/cause.go
+++ b/internal/core/explain/cause.go
@@ -69,6 +69,10 @@
 	case "caller-does-not-read":
 		return fmt.Sprintf("the caller had stopped reading the response; canceled after %s ms", l.Get("took_ms"))
 	case "ends-replicas":
+		if part := l.Get("part"); part != "" {
+			return fmt.Sprintf("kept from replicas: several ended under requests to model %s with part %s in their prompts (lines: replica ended, prompt part quarantined)",
+				l.Get("model"), part)
+		}
 		return fmt.Sprintf("kept from replicas: two or more ended under requests with the same path, account and body (identity %s; their lines: replica ended)",
 			l.Get("identity"))
 	case "replicas-limited":
--- a/internal/core/forward/attempt.go
+++ b/internal/core/forward/attempt.go
@@ -150,7 +150,7 @@
 		r.fallback = complete
 		return stepRetry, fleet.VerdictBad, ReasonResponseLost, true
 	}
-	r.complete = complete
+	r.complete, r.unframed = complete, endsWithConnection(resp)
 	verdict := fleet.VerdictGood
 	if resp.StatusCode >= http.StatusInternalServerError {
 		verdict = fleet.VerdictBad
--- a/internal/core/forward/crash.go
+++ b/internal/core/forward/crash.go
@@ -9,6 +9,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/catalog"
+	"graniteknot.org/go/internal/core/conns"
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/quarantine"
@@ -40,13 +41,13 @@
 // crashProbe is one check of an address.
 type crashProbe struct {
 	started time.Time
-	// done is closed once crashed is set.
-	done    chan struct{}
-	crashed bool
+	// done is closed once state is set.
+	done  chan struct{}
+	state conns.ListenState
 }
 
 // startProbe starts a probe of an address, or returns one that has just started.
-func (d *crashDetector) startProbe(a graniteknot.Address, crashed func(context.Context) bool) *crashProbe {
+func (d *crashDetector) startProbe(a graniteknot.Address, check func(context.Context) conns.ListenState) *crashProbe {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -62,7 +63,7 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		defer close(probe.done)
-		probe.crashed = crashed(ctx)
+		probe.state = check(ctx)
 	})
 	return probe
 }
@@ -81,18 +82,21 @@
 // checkCrash handles a lost response: if its replica has crashed, the crash is recorded for
 // the request. The request waits for that for at most probeWait.
 func (r *inflightRequest) checkCrash(l *fleet.Lease) {
-	key, f := r.quarantineKey(), r.f
-	probe := f.crashes.startProbe(l.Replica.Address, func(ctx context.Context) bool {
-		return f.Pool.Refused(ctx, l.Replica.Address, f.ConnLimit(r.request.Service))
+	subject, f := r.subject(), r.f
+	probe := f.crashes.startProbe(l.Replica.Address, func(ctx context.Context) conns.ListenState {
+		return f.Pool.Probe(ctx, l.Replica.Address, f.ConnLimit(r.request.Service))
 	})
 	recorded := make(chan struct{})
 	replica := l.Replica
-	started := l.ResponseStarted()
+	started, survived := l.ResponseStarted(), r.survived()
 	f.crashes.background.Go(func(context.Context) {
 		defer close(recorded)
 		<-probe.done
-		if probe.crashed {
-			f.recordCrash(r.request, key, &replica, started)
+		switch {
+		case probe.state == conns.ListenStateRefused:
+			f.recordCrash(r.request, subject, &replica, started)
+		case probe.state == conns.ListenStateOpen && survived && f.Quarantine != nil:
+			f.Quarantine.RecordSurvival(subject.Parts, f.Clock.Now())
 		}
 	})
 	timer := time.NewTimer(probeWait)
@@ -114,12 +118,12 @@
 }
 
 // recordCrash records and logs that a replica crashed while it worked on a request.
-func (f *Forwarder) recordCrash(request *RoutedRequest, key quarantine.Key, replica *catalog.Replica, started bool) {
+func (f *Forwarder) recordCrash(request *RoutedRequest, subject *quarantine.Subject, replica *catalog.Replica, started bool) {
 	// A lock-step group stalls for as long as one of its ranks is missing.
 	suspect := replica.Group != "" && !started
 	f.Meter.Count("graniteknot_answers_lost_with_replica_total", meter.Label{Name: "service", Value: string(replica.Service)})
 	fields := []slog.Attr{
-		slog.String("request", string(request.ID)), slog.String("identity", key.String()), slog.String("replica", replica.Life().String()),
+		slog.String("request", string(request.ID)), slog.String("identity", subject.Request.String()), slog.String("replica", replica.Life().String()),
 		slog.String("address", string(replica.Address)), slog.String("path", request.Path),
 		slog.String("model", request.Model), slog.String("parts", formatParts(request.PromptParts)), slog.Bool("response_started", started),
 	}
@@ -127,12 +131,9 @@
 		fields = append(fields, slog.String("account", string(request.Account.Name)))
 	}
 	if q := f.Quarantine; q != nil {
-		now, record := f.Clock.Now(), q.RecordCrash
-		if suspect {
-			record = q.RecordCrashBeforeResponse
-		}
-		counted := record(key, replica.Life().Mark(), now)
-		fields = append(fields, slog.Bool("counted", counted), slog.Bool("suspect", suspect), slog.Bool("kept_from_replicas", q.Blocked(key, now)))
+		now := f.Clock.Now()
+		counted := q.RecordSubjectCrash(subject, replica.Life().Mark(), suspect, now)
+		fields = append(fields, slog.Bool("counted", counted), slog.Bool("suspect", suspect), slog.Bool("kept_from_replicas", q.BlockedKey(subject, now) != nil))
 	}
 	f.Log.Warn("replica ended", fields...)
 }
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -105,8 +105,15 @@
 	withheld bool
 	// metadata is that of the last attempt's response.
 	metadata ResponseMetadata
-	// cachedKey is the request's quarantine key, computed on first use.
-	cachedKey *quarantine.Key
+	// cachedSubject is the request's subject, computed on first use.
+	cachedSubject *quarantine.Subject
+	// trial is set until the first attempt has ended if the request is let through to try a
+	// quarantined part of its prompt.
+	trial bool
+	// attemptStartedAt is when the current attempt's first event arrived; zero before.
+	attemptStartedAt time.Time
+	// unframed is set if the response ended with its connection.
+	unframed bool
 }
 
 // step is what follows an attempt.
@@ -139,7 +146,7 @@
 			return
 		}
 		r.result.Attempts++
-		r.connBroken, r.withheld, r.metadata = false, false, ResponseMetadata{}
+		r.connBroken, r.withheld, r.metadata, r.attemptStartedAt = false, false, ResponseMetadata{}, time.Time{}
 		r.result.Replica = lease.Replica.Life().String()
 		next, verdict, reason := r.attempt(lease)
 		lease.End(verdict, f.Clock.Now())
@@ -154,6 +161,7 @@
 			r.result.Attempts--
 			continue
 		}
+		r.trial = false
 		r.logAttempt(lease, verdict, reason)
 		if next == stepDone {
 			return
@@ -287,8 +295,8 @@
 		r.f.Log.Info("attempt", fields...)
 		return
 	}
-	if r.cachedKey != nil {
-		fields = append(fields, slog.String("identity", r.cachedKey.String()))
+	if r.cachedSubject != nil {
+		fields = append(fields, slog.String("identity", r.cachedSubject.Request.String()))
 	}
 	r.f.Log.Warn("attempt", append(fields, slog.String("reason", string(reason)))...)
 }
--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -106,7 +106,11 @@
 			r.joinGroup()
 		}
 		other := &quarantine.Table{}
-		r.forwarder.Quarantine = &quarantine.Table{OnChange: func(e quarantine.Entry) { other.Merge(&e, time.Now()) }}
+		r.forwarder.Quarantine = &quarantine.Table{OnChange: func(changed []quarantine.Entry) {
+			for i := range changed {
+				other.Merge(&changed[i], time.Now())
+			}
+		}}
 		for range 3 {
 			if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeAnswered {
 				t.Fatalf("unexpected result %+v", result)
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -38,7 +38,8 @@
 	ReasonRequestUnread Reason = "replica-does-not-read"
 	// ReasonReplicaSilent: the replica was cut off, so the attempt was aborted for a retry.
 	ReasonReplicaSilent Reason = "replica-silent"
-	// ReasonQuarantined: the request crashes the replicas that run it, or is suspected to.
+	// ReasonQuarantined: the request or a part of its prompt crashes the replicas that run it,
+	// or is suspected to.
 	ReasonQuarantined Reason = "ends-replicas"
 	// ReasonReplicaBackoff: all replicas asked this process to back off.
 	ReasonReplicaBackoff Reason = "replicas-rest"
@@ -70,6 +71,9 @@
 	SinceFirstTry time.Duration
 	// Identity is the request's quarantine key; empty if it was not needed.
 	Identity string
+	// BlockedPart is the part of the prompt because of which the request was quarantined;
+	// empty if it was not, or for itself.
+	BlockedPart string
 	// Replica is the one of the last attempt.
 	Replica string
 }
--- a/internal/core/forward/stream.go
+++ b/internal/core/forward/stream.go
@@ -27,7 +27,11 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if complete := events.feed(buffer[:n]); len(complete) > 0 {
-			l.RecordResponse(r.f.Clock.Now())
+			now := r.f.Clock.Now()
+			l.RecordResponse(now)
+			if r.attemptStartedAt.IsZero() {
+				r.attemptStartedAt = now
+			}
 			if gone := r.writeEvents(resp, complete, events.lastID); gone {
 				return stepDone, fleet.VerdictNone, r.result.Reason, false
 			}
@@ -52,9 +56,15 @@
 		return stepDone, fleet.VerdictNone, r.result.Reason, false
 	}
 	r.setAnswered(resp.StatusCode)
+	r.unframed = endsWithConnection(resp)
 	return stepDone, fleet.VerdictGood, ReasonNone, true
 }
 
+// endsWithConnection reports whether only the end of the connection marks the response's end.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // writeEvents sends complete events to the client; true if the client is gone.
 func (r *inflightRequest) writeEvents(resp *http.Response, complete []byte, lastID EventID) (gone bool) {
 	if !r.result.ResponseStarted && !r.beginStream(resp) {
--- a/internal/core/forward/unread.go
+++ b/internal/core/forward/unread.go
@@ -63,6 +63,7 @@
 		sent += len(part)
 		if errors.Is(readErr, io.EOF) && sent <= maxResponseBody {
 			r.setAnswered(resp.StatusCode)
+			r.unframed = endsWithConnection(resp)
 			return stepDone, fleet.VerdictGood, ReasonNone, true
 		}
 		if readErr != nil {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -67,7 +67,7 @@
 	Members   presence.View
 	Forwarder forward.Forwarder
 	Health    watch.Health
-	// Quarantine holds the requests that are not sent to replicas.
+	// Quarantine holds the requests and prompt parts that are not sent to replicas.
 	Quarantine quarantine.Table
 	// Evacuations holds the zones whose replicas get no requests.
 	Evacuations evacuation.Table
@@ -104,6 +104,8 @@
 	quarantinePacks presence.PackCache
 	// quarantineReplication tracks which quarantine entries peers and the store have.
 	quarantineReplication replicationState
+	// evidencePending is set while something in favor of prompt parts waits to be sent.
+	evidencePending atomic.Bool
 	// bundler collects what this gateway forwards as a relay. relaying is set while it is one, and
 	// relayAnnouncedAt is when it last announced that to all processes.
 	bundler          presence.Bundler
@@ -165,7 +167,7 @@
 	if o.Config.SlowPeers {
 		g.boundUnread()
 	}
-	g.Quarantine.OnChange = g.onQuarantineChange
+	g.Quarantine.OnChange, g.Quarantine.OnEvidence, g.Quarantine.MayTry = g.onQuarantineChange, g.onQuarantineEvidence, g.mayTryPart
 	g.Fleet.NotifyOutbox(quota.HashBox(o.Config.Box), g.signalLimits)
 	return g
 }
--- a/internal/core/gateway/metrics.go
+++ b/internal/core/gateway/metrics.go
@@ -43,6 +43,7 @@
 	})
 	g.Meter.Gauge("graniteknot_replicas_known", func() float64 { return float64(len(g.Fleet.IDs())) })
 	g.Meter.Gauge("graniteknot_replica_connections_opened", func() float64 { return float64(g.Pool.Opened()) })
+	g.Meter.Gauge("graniteknot_prompt_parts_quarantined", func() float64 { return float64(g.Quarantine.QuarantinedParts()) })
 	g.Meter.Gauge("graniteknot_requests_quarantined", func() float64 { return float64(g.Quarantine.QuarantinedCount()) })
 	g.Meter.Gauge("graniteknot_replicas_limited", func() float64 { return float64(len(g.Fleet.Limits(g.Clock.Now()))) })
 	g.Meter.Gauge("graniteknot_buffered_bytes", func() float64 { return float64(g.buffered.Held()) })
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -10,10 +11,11 @@
 	"graniteknot.org/go/internal/core/presence"
 	"graniteknot.org/go/internal/core/quarantine"
 	"graniteknot.org/go/internal/core/watch"
+	"graniteknot.org/go/internal/delay"
 )
 
-// A request that crashes replicas is retried at any gateway, so all gateways have to know of it.
-// An entry is sent at once by datagram. Heartbeats carry a digest of all entries, and a gateway that
+// Requests and prompt parts that crash replicas come to any gateway, so all gateways have to know
+// of them. An entry is sent at once by datagram. Heartbeats carry a digest of all entries, and a gateway that
 // receives a different digest fetches the entries, which covers lost datagrams and network
 // partitions. Quarantined requests are also stored, for gateways that reach no other one and for a
 // restart of all gateways.
@@ -21,8 +23,11 @@
 const (
 	// queryQuarantinePart requests a part of the known entries.
 	queryQuarantinePart presence.QueryKind = 22
-	// maxEntriesPerDatagram is how many entries, of at most 45 bytes each, one datagram holds.
-	maxEntriesPerDatagram = 20
+	// maxEntryBytes is how many bytes of entries one datagram holds.
+	maxEntryBytes = 900
+	// evidenceDelay bounds the random delay before this gateway sends what it knows in favor of
+	// prompt parts. Most gateways know the same, and the first one's message saves the others'.
+	evidenceDelay = 400 * time.Millisecond
 	// quarantineReadWait is how long a read of the records long-polls for a change.
 	quarantineReadWait = 20 * time.Second
 	// quarantineReaders is how many gateways read the records in a large deployment.
@@ -39,36 +44,77 @@
 	quarantineWriteDelay  = 1500 * time.Millisecond
 )
 
-// onQuarantineChange sends an entry that changed because of a request of this gateway.
-func (g *Gateway) onQuarantineChange(e quarantine.Entry) {
-	g.logQuarantined(&e)
-	g.quarantineReplication.scheduleWrite(&e, g.Clock.Now())
-	g.sendQuarantine([]quarantine.Entry{e}, g.Members.DirectGateways(g.Config.Box, g.Clock.Now()))
+// onQuarantineChange sends entries that changed because of a request of this gateway.
+func (g *Gateway) onQuarantineChange(changed []quarantine.Entry) {
+	now := g.Clock.Now()
+	for i := range changed {
+		g.logQuarantined(&changed[i])
+		g.quarantineReplication.scheduleWrite(&changed[i], now)
+	}
+	g.broadcastQuarantine(changed)
+}
+
+// broadcastQuarantine sends entries to all gateways.
+func (g *Gateway) broadcastQuarantine(entries []quarantine.Entry) {
+	g.sendQuarantine(entries, g.Members.DirectGateways(g.Config.Box, g.Clock.Now()))
 	if g.relaying.Load() {
-		g.sendQuarantine([]quarantine.Entry{e}, g.Members.ZoneGateways(g.self()))
+		g.sendQuarantine(entries, g.Members.ZoneGateways(g.self()))
+	}
+}
+
+// onQuarantineEvidence sends what this gateway knows in favor of prompt parts, unless it hears the
+// same from another gateway first.
+func (g *Gateway) onQuarantineEvidence() {
+	if !g.evidencePending.CompareAndSwap(false, true) {
+		return
 	}
+	g.group.Go(func(ctx context.Context) {
+		delay.For(ctx, rand.N(evidenceDelay))
+		g.evidencePending.Store(false)
+		entries := g.Quarantine.TakeEvidence(g.Clock.Now())
+		if len(entries) == 0 {
+			return
+		}
+		for i := range entries {
+			g.quarantineReplication.scheduleWrite(&entries[i], g.Clock.Now())
+		}
+		g.broadcastQuarantine(entries)
+	})
+}
+
+// mayTryPart reports whether it is this gateway's turn to let one request with a quarantined prompt
+// part through.
+func (g *Gateway) mayTryPart(part quarantine.Key, slot int64) bool {
+	list := append(g.Members.ReadyMembers(presence.RoleGateway, g.Config.Box, g.Clock.Now()), g.self())
+	return ownerIndex(list, fmt.Sprintf("%s/%d", part, slot)) == len(list)-1
 }
 
-// logQuarantined logs that a request is quarantined, suspected or released.
+// logQuarantined logs that a request or part is quarantined, suspected or released.
 func (g *Gateway) logQuarantined(e *quarantine.Entry) {
+	fields := []slog.Attr{slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.CrashedReplicas))}
 	switch {
+	case e.Part && e.Quarantined():
+		g.Log.Warn("prompt part quarantined", append(fields, slog.Int("survived", len(e.Survived)), slog.Bool("served_before", e.ServedBefore))...)
+	case e.Part:
 	case e.Quarantined():
-		g.Log.Warn("request quarantined", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.CrashedReplicas)))
+		g.Log.Warn("request quarantined", fields...)
 	case e.Suspect && !e.Released:
 		g.Log.Warn("request suspected", slog.String("identity", e.Key.String()))
 	case e.Released:
-		g.Log.Info("request released", slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.CrashedReplicas)))
+		g.Log.Info("request released", fields...)
 	}
 }
 
-// sendQuarantine sends entries that fit into one datagram to other gateways.
+// sendQuarantine sends entries to other gateways.
 func (g *Gateway) sendQuarantine(entries []quarantine.Entry, to []graniteknot.Address) {
-	body, err := quarantine.Encode(entries)
-	if err != nil {
-		g.Log.Warn("quarantine entries not sent", slog.String("error", err.Error()))
-		return
+	for _, group := range quarantine.Split(entries, maxEntryBytes) {
+		body, err := quarantine.Encode(group)
+		if err != nil {
+			g.Log.Warn("quarantine entries not sent", slog.String("error", err.Error()))
+			return
+		}
+		g.socket.Send(presence.Message{QuarantineRecords: body}, to)
 	}
-	g.socket.Send(presence.Message{QuarantineRecords: body}, to)
 }
 
 // receiveQuarantine merges entries that another gateway sent; a relay forwards the new ones.
@@ -128,17 +174,15 @@
 	})
 }
 
-// packQuarantine packs all entries into records of up to maxEntriesPerDatagram entries.
+// packQuarantine packs all entries into records of up to maxEntryBytes bytes.
 func (g *Gateway) packQuarantine() (presence.PackedRecords, error) {
 	var records []graniteknot.KeyedRecord
-	entries := g.Quarantine.Entries(g.Clock.Now())
-	for len(entries) > 0 {
-		n := min(maxEntriesPerDatagram, len(entries))
-		value, err := quarantine.Encode(entries[:n])
+	for _, group := range quarantine.Split(g.Quarantine.Entries(g.Clock.Now()), maxEntryBytes) {
+		value, err := quarantine.Encode(group)
 		if err != nil {
 			return nil, err
 		}
-		records, entries = append(records, graniteknot.KeyedRecord{Value: value}), entries[n:]
+		records = append(records, graniteknot.KeyedRecord{Value: value})
 	}
 	return presence.PackRecords(records)
 }
--- a/internal/core/gateway/quarantine_replication.go
+++ b/internal/core/gateway/quarantine_replication.go
@@ -21,15 +21,20 @@
 	writeAt map[quarantine.Key]time.Time
 }
 
-// scheduleWrite schedules writing the store's record of an entry, or removing that of a released
-// one, unless the store is up to date.
+// scheduleWrite schedules writing the store's record of an entry that is quarantined or no longer is,
+// or removing that of a released one, unless the store is up to date.
 func (s *replicationState) scheduleWrite(e *quarantine.Entry, due time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.writeAt == nil {
 		s.writeAt = map[quarantine.Key]time.Time{}
 	}
-	if e.Quarantined() != s.stored[e.Key] && (e.Quarantined() || e.Released) {
+	switch stored := s.stored[e.Key]; {
+	case e.Quarantined() && !stored, e.Released && stored:
+		s.writeAt[e.Key] = due
+	case e.Part && stored && !e.Quarantined():
+		// The record takes the crashes that the part was cleared of; it is not removed, which
+		// would release the part whatever crashes follow.
 		s.writeAt[e.Key] = due
 	}
 }
@@ -42,7 +47,7 @@
 		s.stored = map[quarantine.Key]bool{}
 	}
 	delete(s.writeAt, e.Key)
-	if e.Quarantined() {
+	if e.Quarantined() || e.Part && !e.Released {
 		s.stored[e.Key] = true
 	} else {
 		delete(s.stored, e.Key)
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -24,8 +24,8 @@
 // retry would meet the same overload.
 const retryAfterBusy = 1800 * time.Millisecond
 
-// retryAfterQuarantined is the retry delay given for a request that is quarantined for crashing
-// replicas.
+// retryAfterQuarantined is the retry delay given for a request that is quarantined, or has a
+// quarantined part in its prompt, for crashing replicas.
 const retryAfterQuarantined = time.Minute
 
 // serve handles a caller's request.
@@ -228,6 +228,9 @@
 	if result.Identity != "" {
 		fields = append(fields, slog.String("identity", result.Identity))
 	}
+	if result.BlockedPart != "" {
+		fields = append(fields, slog.String("part", result.BlockedPart), slog.String("model", x.request.Model))
+	}
 	x.gateway.Log.Warn("request", append(fields, slog.String("reason", string(result.Reason)))...)
 }
 
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -17,12 +17,19 @@
 	// coincidence. In a lock-step group, each further crash costs all clients the seconds
 	// that the group needs to resume.
 	quarantineThreshold = 2
-	// maxCrashedReplicas bounds CrashedReplicas. The smallest marks are kept, so that all
-	// processes keep the same ones.
+	// partThreshold is the same for a part of prompts. A rare part is in progress at one
+	// crash by chance, and seldom at two; a crash has a dozen requests in progress.
+	partThreshold = 3
+	// servedPartThreshold applies to a part that replicas served before. It is most likely a
+	// frequent one that is in progress at every crash.
+	servedPartThreshold = 5
+	// maxCrashedReplicas and maxPartCrashes bound CrashedReplicas of requests and parts. The
+	// smallest marks are kept, so that all processes keep the same ones.
 	maxCrashedReplicas = 4
+	maxPartCrashes     = 16
 )
 
-// Entry is what is known of one request.
+// Entry is what is known of one request, or of one part of prompts.
 type Entry struct {
 	Key Key `cbor:"1,keyasint"`
 	// CrashedReplicas are the marks of the replica instances that crashed while they
@@ -34,29 +41,87 @@
 	// Suspect is set if a replica crashed before it had answered anything, and its crash
 	// stalls a lock-step group. Never reset.
 	Suspect bool `cbor:"5,keyasint,omitempty"`
+	// Part marks the entry of a part of prompts.
+	Part bool `cbor:"6,keyasint,omitempty"`
+	// Survived are those of a part's CrashedReplicas after whose crash another replica
+	// outlived a request with the part, in ascending order without duplicates.
+	Survived []catalog.Mark `cbor:"7,keyasint,omitempty"`
+	// ServedBefore is set once a process knows that replicas served requests with the part.
+	// Never reset.
+	ServedBefore bool `cbor:"8,keyasint,omitempty"`
+	// Blamed is set once a process quarantined the part. Never reset: from then on, too few
+	// requests with the part reach replicas to compare its crashes with those of others.
+	Blamed bool `cbor:"9,keyasint,omitempty"`
 	// AgeMillis is the least time since the request was first recorded, in milliseconds.
 	AgeMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Quarantined reports whether enough replicas crashed to quarantine the request.
+// Quarantined reports whether enough replicas crashed to quarantine the request, or a part
+// whose crashes no other part explains.
 func (e *Entry) Quarantined() bool {
-	return !e.Released && len(e.CrashedReplicas) >= quarantineThreshold
+	return !e.Released && e.openCrashCount(nil) >= e.threshold()
+}
+
+func (e *Entry) threshold() int {
+	switch {
+	case e.Part && e.ServedBefore:
+		return servedPartThreshold
+	case e.Part:
+		return partThreshold
+	}
+	return quarantineThreshold
+}
+
+func (e *Entry) maxCrashes() int {
+	if e.Part {
+		return maxPartCrashes
+	}
+	return maxCrashedReplicas
+}
+
+// openCrashCount returns how many crashes speak against the entry, except for explained ones.
+func (e *Entry) openCrashCount(explained map[catalog.Mark]bool) int {
+	n := 0
+	for _, mark := range e.CrashedReplicas {
+		if !explained[mark] && !slices.Contains(e.Survived, mark) {
+			n++
+		}
+	}
+	return n
 }
 
 // merge adds what another entry of the same key holds; false if nothing changed.
 func (e *Entry) merge(other *Entry) bool {
-	crashed := slices.Concat(e.CrashedReplicas, other.CrashedReplicas)
-	slices.Sort(crashed)
-	crashed = slices.Compact(crashed)
-	crashed = crashed[:min(len(crashed), maxCrashedReplicas)]
-	released, suspect := e.Released || other.Released, e.Suspect || other.Suspect
-	if released == e.Released && suspect == e.Suspect && slices.Equal(crashed, e.CrashedReplicas) {
+	out := Entry{
+		Key: e.Key, AgeMillis: e.AgeMillis,
+		Released: e.Released || other.Released, Suspect: e.Suspect || other.Suspect,
+		Part: e.Part || other.Part, ServedBefore: e.ServedBefore || other.ServedBefore,
+		Blamed: e.Blamed || other.Blamed,
+	}
+	out.CrashedReplicas = union(e.CrashedReplicas, other.CrashedReplicas)
+	out.CrashedReplicas = out.CrashedReplicas[:min(len(out.CrashedReplicas), out.maxCrashes())]
+	out.Survived = union(e.Survived, other.Survived)
+	out.Survived = slices.DeleteFunc(out.Survived, func(m catalog.Mark) bool { return !slices.Contains(out.CrashedReplicas, m) })
+	if out.equal(e) {
 		return false
 	}
-	e.CrashedReplicas, e.Released, e.Suspect = crashed, released, suspect
+	*e = out
 	return true
 }
 
+// equal reports whether two entries of one key hold the same, whatever their ages.
+func (e *Entry) equal(other *Entry) bool {
+	return e.Released == other.Released && e.Suspect == other.Suspect && e.Part == other.Part && e.ServedBefore == other.ServedBefore && e.Blamed == other.Blamed &&
+		slices.Equal(e.CrashedReplicas, other.CrashedReplicas) && slices.Equal(e.Survived, other.Survived)
+}
+
+// union returns the marks of both lists in ascending order without duplicates.
+func union(a, b []catalog.Mark) []catalog.Mark {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // checksum is the entry's part of the table's digest.
 func (e *Entry) checksum() uint64 {
 	b := append([]byte(nil), e.Key[:]...)
@@ -69,6 +134,15 @@
 	if e.Suspect {
 		b = append(b, 2)
 	}
+	if e.ServedBefore {
+		b = append(b, 3)
+	}
+	if e.Blamed {
+		b = append(b, 4)
+	}
+	for _, mark := range e.Survived {
+		b = binary.BigEndian.AppendUint32(b, uint32(mark))
+	}
 	return xxhash.Sum64(b)
 }
 
@@ -76,17 +150,32 @@
 type tableEntry struct {
 	Entry
 
-	// firstKnown is when the request was first recorded.
+	// firstKnown is when the request or part was first recorded.
 	firstKnown time.Time
-	// onBlock holds the functions to call once the request is blocked.
-	onBlock map[*func()]struct{}
+	// quarantinedSince is since when a part is quarantined; zero while it is not.
+	quarantinedSince time.Time
+	// triedSlot is the last trial slot, counted from 1, in which this process let a request
+	// with the part through or found that it was another process's turn.
+	triedSlot int64
 }
 
-// blocked reports whether the request must not reach replicas.
+// blocked reports whether requests with the entry's key must not reach replicas.
 func (e *tableEntry) blocked(now time.Time) bool {
+	if e.Part {
+		return !e.quarantinedSince.IsZero() && !now.Before(e.blockedFrom())
+	}
 	return e.Quarantined() || e.Suspect && !e.Released && now.Sub(e.firstKnown) < suspectTTL
 }
 
+// blockedFrom returns from when on a quarantined part is blocked. A frequent part is in progress
+// at all crashes of a burst, but other replicas soon outlive requests with it.
+func (e *tableEntry) blockedFrom() time.Time {
+	if e.ServedBefore {
+		return e.quarantinedSince.Add(servedPartDelay)
+	}
+	return e.quarantinedSince
+}
+
 // expired reports whether the entry may be dropped.
 func (e *tableEntry) expired(now time.Time) bool {
 	if e.Quarantined() {
--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -12,14 +12,26 @@
 // deployment, and that nobody can construct the key of another account's request.
 const keyBytes = 16
 
-// Key identifies a request by its content: a digest of path, account and body.
+// Key identifies a request by its content, a digest of path, account and body, or a part of
+// prompts, see KeyOfPart.
 type Key [keyBytes]byte
 
 // KeyOf returns a request's key.
 func KeyOf(path string, account graniteknot.Account, body []byte) Key {
+	return digest([]byte(path), []byte(account), body)
+}
+
+// KeyOfPart returns the key of a part of the prompts of a model's requests: its hash, as the
+// client states it, and its number of tokens. Parts are shared by accounts.
+func KeyOfPart(model, hash string, tokens uint32) Key {
+	return digest([]byte("part"), []byte(model), []byte(hash), binary.BigEndian.AppendUint32(nil, tokens))
+}
+
+// digest returns the digest of a list of parts.
+func digest(parts ...[]byte) Key {
 	var length [binary.MaxVarintLen64]byte
 	hash := sha256.New()
-	for _, part := range [][]byte{[]byte(path), []byte(account), body} {
+	for _, part := range parts {
 		// The length prefix separates the parts. Writes to a hash do not fail.
 		_, _ = hash.Write(length[:binary.PutUvarint(length[:], uint64(len(part)))])
 		_, _ = hash.Write(part)
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -27,20 +27,36 @@
 	// requests. A power failure ends hundreds of replicas, each with a dozen requests.
 	burstWindow     = time.Second
 	maxBurstCrashes = 3
+	// servedPartDelay is how long a part that was served before is quarantined until it is
+	// blocked: longer than it takes to hear from other processes that replicas outlive
+	// requests with it.
+	servedPartDelay = time.Second
 )
 
-// Table holds the requests that replicas crashed on. The zero value is empty.
+// Table holds the requests and the parts of prompts that replicas crashed on. The zero value
+// is empty.
 type Table struct {
-	// OnChange, if not nil, is called with each entry that this process's own requests
-	// changed. Set it before use.
-	OnChange func(Entry)
+	// OnChange, if not nil, is called with the entries that crashes or responses of this
+	// process's own requests changed. Set it before use, like the other functions.
+	OnChange func([]Entry)
+	// OnEvidence, if not nil, is called when this process knows something in favor of parts
+	// that other processes may not know; see TakeEvidence.
+	OnEvidence func()
+	// MayTry reports whether it is this process's turn to try a quarantined part; nil means
+	// that no part is tried again.
+	MayTry func(part Key, slot int64) bool
 
 	mu      sync.Mutex
 	entries map[Key]*tableEntry
 	// digest combines the checksums of all entries.
 	digest uint64
-	// answered holds the requests that replicas recently answered to this process.
-	answered recentKeys
+	// answered holds the requests that replicas recently answered to this process, served
+	// the parts of prompts of requests that replicas outlived.
+	answered, served recentKeys
+	// evidence holds the parts in favor of which this process knows something that it has
+	// neither sent to other processes nor received from them.
+	evidence map[Key]struct{}
+	waiters  map[*waiter]struct{}
 	// recentCrashes are those of the last burstWindow.
 	recentCrashes []crash
 	// entryCount is len(entries); each request reads it without the lock.
@@ -58,10 +74,28 @@
 
 // Blocked reports whether a request must not reach replicas now, quarantined or suspect.
 func (t *Table) Blocked(k Key, now time.Time) bool {
+	return t.BlockedKey(&Subject{Request: k}, now) != nil
+}
+
+// BlockedKey returns the key because of which a request must not reach replicas now: its own,
+// or that of a part of its prompt; nil if there is none.
+func (t *Table) BlockedKey(s *Subject, now time.Time) *Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entry := t.entries[k]
-	return entry != nil && entry.blocked(now)
+	return t.blockedKey(s, now)
+}
+
+// blockedKey is BlockedKey with the lock held.
+func (t *Table) blockedKey(s *Subject, now time.Time) *Key {
+	if entry := t.entries[s.Request]; entry != nil && entry.blocked(now) {
+		return &s.Request
+	}
+	for i := range s.Parts {
+		if entry := t.entries[s.Parts[i]]; entry != nil && entry.blocked(now) {
+			return &s.Parts[i]
+		}
+	}
+	return nil
 }
 
 // Quarantined reports whether enough replicas crashed to quarantine a request.
@@ -75,29 +109,30 @@
 // RecordCrash records that a replica crashed while it worked on a request. It returns false
 // if so many replicas crash at once that requests are not the cause.
 func (t *Table) RecordCrash(k Key, replica catalog.Mark, now time.Time) bool {
-	return t.recordCrash(Entry{Key: k, CrashedReplicas: []catalog.Mark{replica}}, now)
+	return t.RecordSubjectCrash(&Subject{Request: k}, replica, false, now)
 }
 
 // RecordCrashBeforeResponse does the same for a replica of a lock-step group that had sent
 // no part of the response; the request becomes a suspect.
 func (t *Table) RecordCrashBeforeResponse(k Key, replica catalog.Mark, now time.Time) bool {
-	return t.recordCrash(Entry{Key: k, CrashedReplicas: []catalog.Mark{replica}, Suspect: true}, now)
+	return t.RecordSubjectCrash(&Subject{Request: k}, replica, true, now)
 }
 
-func (t *Table) recordCrash(e Entry, now time.Time) bool {
-	if !t.isIsolatedCrash(e.CrashedReplicas[0], now) {
+// RecordSubjectCrash records a crash for a request and the parts of its prompt.
+func (t *Table) RecordSubjectCrash(s *Subject, replica catalog.Mark, suspect bool, now time.Time) bool {
+	if !t.isIsolatedCrash(replica, now) {
 		return false
 	}
-	e.Released = t.recentlyAnswered(e.Key)
-	t.applyLocal(e, now)
-	return true
-}
-
-// recentlyAnswered reports whether this process recently saw the request answered.
-func (t *Table) recentlyAnswered(k Key) bool {
+	crashed := []catalog.Mark{replica}
+	changes := make([]Entry, 0, 1+len(s.Parts))
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.answered.contains(k)
+	changes = append(changes, Entry{Key: s.Request, CrashedReplicas: crashed, Suspect: suspect, Released: t.answered.contains(s.Request)})
+	for _, part := range s.Parts {
+		changes = append(changes, Entry{Key: part, Part: true, CrashedReplicas: crashed, ServedBefore: t.served.contains(part)})
+	}
+	t.mu.Unlock()
+	t.applyLocal(changes, now)
+	return true
 }
 
 // RecordResponse records that a replica answered a request, which releases it: the request
@@ -108,7 +143,31 @@
 	known := t.entries[k] != nil
 	t.mu.Unlock()
 	if known {
-		t.applyLocal(Entry{Key: k, Released: true}, now)
+		t.applyLocal([]Entry{{Key: k, Released: true}}, now)
+	}
+}
+
+// RecordSurvival records that a replica outlived a request with these parts in its prompt,
+// which clears them of all crashes that are known so far.
+func (t *Table) RecordSurvival(parts []Key, now time.Time) {
+	t.mu.Lock()
+	changed := false
+	for _, part := range parts {
+		t.served.add(part, now)
+		entry := t.entries[part]
+		if entry == nil || entry.openCrashCount(nil) == 0 {
+			continue
+		}
+		t.change(entry, &Entry{Key: part, Part: true, CrashedReplicas: entry.CrashedReplicas, Survived: entry.CrashedReplicas, ServedBefore: true})
+		t.addEvidence(part)
+		changed = true
+	}
+	if changed {
+		t.reassess(now)
+	}
+	t.mu.Unlock()
+	if changed && t.OnEvidence != nil {
+		t.OnEvidence()
 	}
 }
 
@@ -127,13 +186,19 @@
 	return true
 }
 
-// applyLocal merges what this process observed, and reports a change to OnChange.
-func (t *Table) applyLocal(e Entry, now time.Time) {
-	if !t.Merge(&e, now) || t.OnChange == nil {
-		return
+// applyLocal merges what this process observed, and reports the changes to OnChange.
+func (t *Table) applyLocal(changes []Entry, now time.Time) {
+	var changed []Entry
+	for i := range changes {
+		if !t.Merge(&changes[i], now) {
+			continue
+		}
+		if entry, known := t.Entry(changes[i].Key, now); known {
+			changed = append(changed, entry)
+		}
 	}
-	if entry, known := t.Entry(e.Key, now); known {
-		t.OnChange(entry)
+	if len(changed) > 0 && t.OnChange != nil {
+		t.OnChange(changed)
 	}
 }
 
@@ -146,29 +211,91 @@
 		return false
 	}
 	t.mu.Lock()
+	changed, evidence := t.mergeLocked(&fresh, e, now)
+	if changed {
+		t.reassess(now)
+		t.cancelBlocked(now)
+	}
+	t.mu.Unlock()
+	if evidence && t.OnEvidence != nil {
+		t.OnEvidence()
+	}
+	return changed
+}
+
+// mergeLocked merges an entry; fresh is the same as a new table entry. It also reports
+// whether this process knows something in favor of a part that the entry does not hold.
+func (t *Table) mergeLocked(fresh *tableEntry, e *Entry, now time.Time) (changed, evidence bool) {
 	entry := t.entries[e.Key]
 	if entry == nil {
-		entry = t.add(&fresh, now)
-		t.mu.Unlock()
-		return entry != nil
+		if entry = t.add(fresh, now); entry == nil {
+			return false, false
+		}
+		changed = true
+	} else {
+		if fresh.firstKnown.Before(entry.firstKnown) {
+			entry.firstKnown = fresh.firstKnown
+		}
+		changed = t.change(entry, e)
+	}
+	if !entry.Part {
+		return changed, false
 	}
-	if firstKnown.Before(entry.firstKnown) {
-		entry.firstKnown = firstKnown
+	if !entry.ServedBefore && t.served.contains(e.Key) {
+		t.change(entry, &Entry{Key: e.Key, Part: true, ServedBefore: true})
+		t.addEvidence(e.Key)
+		return true, true
 	}
+	if entry.equal(e) {
+		delete(t.evidence, e.Key)
+	}
+	return changed, false
+}
+
+// change merges into an existing entry and updates the digest.
+func (t *Table) change(entry *tableEntry, e *Entry) bool {
 	before := entry.checksum()
 	changed := entry.merge(e)
 	t.digest ^= before ^ entry.checksum()
-	var wake []*func()
-	if changed && entry.blocked(now) {
-		for w := range entry.onBlock {
-			wake = append(wake, w)
+	return changed
+}
+
+// addEvidence notes that this process knows something in favor of a part.
+func (t *Table) addEvidence(part Key) {
+	if t.evidence == nil {
+		t.evidence = map[Key]struct{}{}
+	}
+	t.evidence[part] = struct{}{}
+}
+
+// TakeEvidence returns the entries of the parts in favor of which this process knows
+// something that other processes may not know. Another process that knows the same may send
+// it first; so a short random delay saves most messages.
+func (t *Table) TakeEvidence(now time.Time) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Entry
+	for part := range t.evidence {
+		if entry := t.entries[part]; entry != nil {
+			out = append(out, entry.snapshot(now))
 		}
 	}
-	t.mu.Unlock()
-	for _, w := range wake {
-		(*w)()
+	t.evidence = nil
+	return out
+}
+
+// reassess finds out which parts crash replicas.
+func (t *Table) reassess(now time.Time) {
+	blamed := assignBlame(t.entries)
+	for k, entry := range t.entries {
+		switch {
+		case !blamed[k]:
+			entry.quarantinedSince = time.Time{}
+		case entry.quarantinedSince.IsZero():
+			entry.quarantinedSince = now
+			t.change(entry, &Entry{Key: k, Part: true, Blamed: true})
+		}
 	}
-	return changed
 }
 
 // add inserts a new entry; nil if there is no room. The caller holds the lock.
@@ -188,13 +315,13 @@
 	return fresh
 }
 
-// evict makes room for an entry by removing the oldest one that is not quarantined, or else
-// the oldest of all; it never removes a quarantined entry for one that is not. The caller
+// evict makes room for an entry by removing the oldest of those with the fewest crashes that
+// is not quarantined, or else the oldest of all; it never removes a quarantined entry for one that is not. The caller
 // holds the lock.
 func (t *Table) evict(fresh *tableEntry) bool {
 	var oldest *tableEntry
 	for _, entry := range t.entries {
-		if oldest == nil || oldest.Quarantined() && !entry.Quarantined() || oldest.Quarantined() == entry.Quarantined() && entry.firstKnown.Before(oldest.firstKnown) {
+		if oldest == nil || entry.evictedBefore(oldest) {
 			oldest = entry
 		}
 	}
@@ -205,16 +332,29 @@
 	return true
 }
 
+// evictedBefore reports whether the entry is to be removed rather than another one.
+func (e *tableEntry) evictedBefore(other *tableEntry) bool {
+	if e.Quarantined() != other.Quarantined() {
+		return other.Quarantined()
+	}
+	if !e.Quarantined() && e.openCrashCount(nil) != other.openCrashCount(nil) {
+		return e.openCrashCount(nil) < other.openCrashCount(nil)
+	}
+	return e.firstKnown.Before(other.firstKnown)
+}
+
 func (t *Table) remove(entry *tableEntry) {
 	delete(t.entries, entry.Key)
 	t.digest ^= entry.checksum()
 	t.entryCount.Store(int32(len(t.entries)))
 }
 
-// Expire removes expired entries and returns the keys of those that were quarantined.
+// Expire removes expired entries and returns the keys of those that may have a record: requests
+// that were quarantined, and parts. It also cancels the waits for parts that are blocked by now.
 func (t *Table) Expire(now time.Time) []Key {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.cancelBlocked(now)
 	return t.expire(now)
 }
 
@@ -224,11 +364,14 @@
 		if !entry.expired(now) {
 			continue
 		}
-		if entry.Quarantined() {
+		if entry.Quarantined() || entry.Part {
 			out = append(out, k)
 		}
 		t.remove(entry)
 	}
+	if len(out) > 0 {
+		t.reassess(now)
+	}
 	return out
 }
 
@@ -253,11 +396,20 @@
 
 // QuarantinedCount returns the number of quarantined requests.
 func (t *Table) QuarantinedCount() int {
+	return t.count(func(e *tableEntry) bool { return !e.Part && e.Quarantined() })
+}
+
+// QuarantinedParts returns the number of quarantined parts of prompts.
+func (t *Table) QuarantinedParts() int {
+	return t.count(func(e *tableEntry) bool { return !e.quarantinedSince.IsZero() })
+}
+
+func (t *Table) count(is func(*tableEntry) bool) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, entry := range t.entries {
-		if entry.Quarantined() {
+		if is(entry) {
 			n++
 		}
 	}
--- a/internal/core/quarantine/table_test.go
+++ b/internal/core/quarantine/table_test.go
@@ -164,9 +164,9 @@
 	var table quarantine.Table
 	k := key("x")
 	table.RecordCrash(k, 1, start)
-	waiting, done := table.CancelOnBlock(context.Background(), k, start)
+	waiting, done := table.CancelOnBlock(context.Background(), &quarantine.Subject{Request: k}, start)
 	defer done()
-	other, doneOther := table.CancelOnBlock(context.Background(), key("y"), start)
+	other, doneOther := table.CancelOnBlock(context.Background(), &quarantine.Subject{Request: key("y")}, start)
 	defer doneOther()
 	if waiting.Err() != nil {
 		t.Error("a single crash canceled the wait")
@@ -176,7 +176,7 @@
 	if waiting.Err() == nil || other.Err() != nil {
 		t.Error("the wait was not canceled, or another request's was")
 	}
-	late, doneLate := table.CancelOnBlock(context.Background(), k, start)
+	late, doneLate := table.CancelOnBlock(context.Background(), &quarantine.Subject{Request: k}, start)
 	defer doneLate()
 	if late.Err() == nil {
 		t.Error("a quarantined request waits")
@@ -230,7 +230,11 @@
 func TestSuspectIsBlockedForAMinute(t *testing.T) {
 	var table, other quarantine.Table
 	k := key("x")
-	table.OnChange = func(e quarantine.Entry) { other.Merge(&e, start) }
+	table.OnChange = func(changed []quarantine.Entry) {
+		for i := range changed {
+			other.Merge(&changed[i], start)
+		}
+	}
 	table.RecordCrashBeforeResponse(k, 1, start)
 	table.RecordCrash(key("begun"), 1, start)
 	for _, x := range []*quarantine.Table{&table, &other} {
--- a/internal/core/quarantine/wait.go
+++ b/internal/core/quarantine/wait.go
@@ -5,28 +5,39 @@
 	"time"
 )
 
-// CancelOnBlock returns a context that is also canceled once a request is blocked. A
-// request without an entry gets ctx itself. Call the returned function when done.
-func (t *Table) CancelOnBlock(ctx context.Context, k Key, now time.Time) (context.Context, func()) {
+// waiter is a request that waits for a replica.
+type waiter struct {
+	subject *Subject
+	cancel  context.CancelFunc
+}
+
+// CancelOnBlock returns a context that is also canceled once a request is blocked. Call the
+// returned function when done.
+func (t *Table) CancelOnBlock(ctx context.Context, s *Subject, now time.Time) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &waiter{subject: s, cancel: cancel}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entry := t.entries[k]
-	if entry == nil {
-		return ctx, func() {}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	if entry.blocked(now) {
+	if t.blockedKey(s, now) != nil {
 		cancel()
 	}
-	wake := func() { cancel() }
-	if entry.onBlock == nil {
-		entry.onBlock = map[*func()]struct{}{}
+	if t.waiters == nil {
+		t.waiters = map[*waiter]struct{}{}
 	}
-	entry.onBlock[&wake] = struct{}{}
+	t.waiters[w] = struct{}{}
 	return ctx, func() {
 		t.mu.Lock()
-		delete(entry.onBlock, &wake)
+		delete(t.waiters, w)
 		t.mu.Unlock()
 		cancel()
 	}
 }
+
+// cancelBlocked cancels the waits of blocked requests. The caller holds the lock.
+func (t *Table) cancelBlocked(now time.Time) {
+	for w := range t.waiters {
+		if t.blockedKey(w.subject, now) != nil {
+			w.cancel()
+		}
+	}
+}
