forward: a failed request is not released from quarantine

What callers saw: nothing known; found by looking for the cause of one part of a prompt elsewhere. Cause: any response of a replica released a request that replicas crashed under, also a 500 from before it began. Change: a status from 500 on releases nothing. Measured: TestFailureDoesNotReleaseRequest fails without the change, passes with it.

--- a/internal/core/forward/parts_test.go
+++ b/internal/core/forward/parts_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// TestFailureDoesNotReleaseRequest guards against releasing a request that crashes replicas because
+// one of them failed it before it began.
+func TestFailureDoesNotReleaseRequest(t *testing.T) {
+	r := newFixture(t, catalog.KindRepeatable, platformtest.Fail(http.StatusInternalServerError))
+	table := &quarantine.Table{}
+	r.forwarder.Quarantine = table
+	r.route.Attempts = 1
+	key := quarantine.KeyOf("/p/x", "desk", []byte("question"))
+	table.RecordCrash(key, 1, time.Now())
+	r.do(context.Background())
+	table.RecordCrash(key, 2, time.Now())
+	if !table.Quarantined(key) {
+		t.Error("a failed request is released")
+	}
+}
+
 // TestTrialOfQuarantinedPart checks that a request that is let through makes one attempt only, and
 // that its response ends the quarantine.
 func TestTrialOfQuarantinedPart(t *testing.T) {
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -84,12 +84,12 @@
 // The end of a response that ends with its connection may also be that of its replica.
 func (r *inflightRequest) recordAnswered() {
 	q := r.f.Quarantine
-	if q == nil || r.result.Outcome != graniteknot.OutcomeAnswered {
+	if q == nil || r.result.Outcome != graniteknot.OutcomeAnswered || r.result.Status >= http.StatusInternalServerError {
 		return
 	}
 	now := r.f.Clock.Now()
 	q.RecordResponse(r.subject().Request, now)
-	if r.result.Status < http.StatusInternalServerError && !r.unframed {
+	if !r.unframed {
 		q.RecordSurvival(r.subject().Parts, now)
 	}
 }
