soak, mutation: prompt parts that crash replicas

Cause: no soak run had requests that crash replicas by a part of their prompts, so the incident was not seen.

--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -176,9 +176,9 @@
 		t.change(entry, &Entry{Key: part, Part: true, CrashedReplicas: entry.CrashedReplicas, Survived: entry.CrashedReplicas, ServedBefore: true})
 		t.addEvidence(part)
 		changed = true
-	}
-	if changed {
-		t.reassess(now)
+		if entry.blame != nil {
+			t.reassess(now)
+		}
 	}
 	t.mu.Unlock()
 	if changed && t.OnEvidence != nil {
@@ -228,9 +228,13 @@
 	t.mu.Lock()
 	t.settleBlame(now)
 	changed, evidence := t.mergeLocked(&fresh, e, now)
-	if changed {
-		t.reassess(now)
-		t.cancelBlocked(now)
+	if entry := t.entries[e.Key]; changed && entry != nil {
+		if entry.Part && (entry.blame != nil || entry.Quarantined()) {
+			t.reassess(now)
+		}
+		if entry.blame != nil || entry.blocked(now) {
+			t.cancelBlocked(now)
+		}
 	}
 	t.mu.Unlock()
 	if evidence && t.OnEvidence != nil {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -130,6 +130,56 @@
 		Old: "\tt.answered.add(k, now)\n", New: "",
 		Package: "internal/core/forward", Test: "TestResponsesBeforeCrashPreventQuarantine",
 	},
+	{
+		Name: "crashes are not recorded for parts of prompts", File: "internal/core/quarantine/table.go",
+		Old: "for _, part := range s.Parts {\n\t\tchanges", New: "for _, part := range s.Parts[:0] {\n\t\tchanges",
+		Package: "internal/core/gateway", Test: "TestPromptPartThatCrashesReplicasIsKeptFromThem", Says: "reached replicas later",
+	},
+	{
+		Name: "gateway processes do not record crashes for parts of prompts", File: "internal/core/quarantine/table.go",
+		Old: "for _, part := range s.Parts {\n\t\tchanges", New: "for _, part := range s.Parts[:0] {\n\t\tchanges",
+		Package: "internal/soak", Test: "TestCrashingPromptParts", Says: "prompt parts that end replicas are kept from them", Variables: soakTries,
+	},
+	{
+		Name: "survivals do not clear parts", File: "internal/core/quarantine/entry.go",
+		Old: "if !explained[mark] && !slices.Contains(e.Survived, mark) {", New: "if !explained[mark] {",
+		Package: "internal/core/quarantine", Test: "TestSoundPartsAreNotBlocked", Says: "refused",
+	},
+	{
+		Name: "blamed parts do not explain crashes", File: "internal/core/quarantine/blame.go",
+		Old: "a.explained[mark] = true", New: "a.explained[mark] = false",
+		Package: "internal/core/quarantine", Test: "TestExplainedCrashesDoNotQuarantine",
+	},
+	{
+		Name: "one of two parts at the same crashes is blamed", File: "internal/core/quarantine/blame.go",
+		Old: "out.jointly = len(out.tied) > 0", New: "out.jointly = false && len(out.tied) > 0",
+		Package: "internal/core/quarantine", Test: "TestExplainedCrashesDoNotQuarantine",
+	},
+	{
+		Name: "blocked parts are excused by later crashes of others", File: "internal/core/quarantine/blame.go",
+		Old: "if e.Blamed && !e.ServedBefore {", New: "if false {",
+		Package: "internal/core/quarantine", Test: "TestBlockedPartStaysBlocked",
+	},
+	{
+		Name: "evidence in favor of parts is kept to oneself", File: "internal/core/quarantine/table.go",
+		Old: "\tif evidence && t.OnEvidence != nil {", New: "\tif evidence && false {",
+		Package: "internal/core/quarantine", Test: "TestSurvivalIsExchanged",
+	},
+	{
+		Name: "responses that end with their connection clear parts", File: "internal/core/forward/quarantine.go",
+		Old: "if !r.unframed {", New: "if true {",
+		Package: "internal/core/forward", Test: "TestWhichResponsesClearParts",
+	},
+	{
+		Name: "streams that break off at once clear parts", File: "internal/core/forward/quarantine.go",
+		Old: "r.f.Clock.Since(r.attemptStartedAt) >= survivalTime", New: "true",
+		Package: "internal/core/forward", Test: "TestWhichResponsesClearParts",
+	},
+	{
+		Name: "a trial goes on after its first attempt", File: "internal/core/forward/forwarder.go",
+		Old: "\t\tr.trial = false\n", New: "",
+		Package: "internal/core/forward", Test: "TestTrialOfQuarantinedPart",
+	},
 	{
 		Name: "the era of answers is not compared", File: "platform/store.go",
 		Old: "return graniteknot.Era(told), told == known", New: "return graniteknot.Era(told), true",
--- a/internal/soak/call.go
+++ b/internal/soak/call.go
@@ -20,6 +20,8 @@
 	id   string
 	once bool
 	key  *key
+	// parts are those of the request's prompt; none for no prompt.
+	parts []string
 	// gateway is the process that the request was sent to.
 	gateway *process
 	sent    time.Time
@@ -41,6 +43,8 @@
 	// key returns the key of the next call.
 	key    func() *key
 	client *http.Client
+	// prompts gives the requests prompts.
+	prompts bool
 
 	mu    sync.Mutex
 	calls []*call
@@ -63,7 +67,7 @@
 }
 
 func (c *caller) one(ctx context.Context, i int, to *process) {
-	c.send(ctx, &call{id: fmt.Sprintf("%s-%d", c.name, i), once: c.choose(2) == 0, key: c.key(), gateway: to}, "")
+	c.send(ctx, &call{id: fmt.Sprintf("%s-%d", c.name, i), once: c.choose(2) == 0, key: c.key(), gateway: to, parts: c.parts(i)}, "")
 }
 
 // send sends a request with a body and records the call.
@@ -83,6 +87,9 @@
 	r.GetBody = nil
 	r.Host = host
 	platformtest.Sign(r, x.id, x.key.text)
+	if len(x.parts) > 0 {
+		platformtest.SetPromptParts(r, x.parts...)
+	}
 	x.sent = time.Now()
 	x.status, x.body = c.ask(r)
 	x.ended = time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,6 +50,7 @@
 	out = append(out, checkLimits(w, calls)...)
 	out = append(out, checkEvacuations(w, calls)...)
 	out = append(out, checkCold(w, calls)...)
+	out = append(out, checkCrashingPart(calls, ran)...)
 	return append(out, checkCrashes(ran)...)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,8 @@
 	Span   time.Duration
 	// Ends sends a request that crashes every replica that runs it, and writes malformed records.
 	Ends bool
+	// Parts gives requests prompts, and sends requests with a part that crashes every replica.
+	Parts bool
 	// Words lets replicas ask for backoff, and announce in responses that they leave.
 	Words bool
 	// Limits lets replicas state rate limits for all gateways together.
@@ -110,33 +112,11 @@
 	for i := range callers {
 		random := rand.New(rand.NewPCG(o.Seed, uint64(i)+1))
 		callers[i] = newCaller(i, w, random.IntN)
+		callers[i].prompts = o.Parts
 		load.Go(func(context.Context) { callers[i].run(calling, gateways) })
 	}
 	others := &caller{name: "deadly", key: w.newestKey, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
-	if o.Ends {
-		random := rand.New(rand.NewPCG(o.Seed, crashStream))
-		load.Go(func(context.Context) { others.sendCrashing(calling, gateways, random.IntN) })
-		load.Go(func(context.Context) { w.writeMalformed(calling, rand.New(rand.NewPCG(o.Seed, crashStream+1)).IntN) })
-	}
-	if o.Drills {
-		load.Go(func(context.Context) {
-			w.drills(calling, gateways, rand.New(rand.NewPCG(o.Seed, drillsStream)).IntN)
-		})
-	}
-	if o.Words {
-		load.Go(func(context.Context) { w.sendFeedback(calling, rand.New(rand.NewPCG(o.Seed, feedbackStream)).IntN) })
-	}
-	if o.Limits {
-		load.Go(func(context.Context) { w.limits(calling, rand.New(rand.NewPCG(o.Seed, limitsStream)).IntN) })
-	}
-	if o.Evacuations {
-		load.Go(func(context.Context) {
-			w.evacuate(calling, gateways, rand.New(rand.NewPCG(o.Seed, evacuationsStream)).IntN)
-		})
-	}
-	if o.Cold {
-		load.Go(func(context.Context) { w.coldAgain(calling, rand.New(rand.NewPCG(o.Seed, coldStream+1)).IntN) })
-	}
+	startKinds(calling, o, w, gateways, others, &load)
 	var settled []*caller
 	if o.Series {
 		load.Go(func(context.Context) { w.series(calling, rand.New(rand.NewPCG(o.Seed, seriesStream)).IntN) })
@@ -161,6 +141,38 @@
 	return calls, findings
 }
 
+// startKinds starts what the kinds of run in the options add to the callers' requests.
+func startKinds(ctx context.Context, o *Options, w *world, gateways []*process, others *caller, load *group.Group) {
+	if o.Ends {
+		random := rand.New(rand.NewPCG(o.Seed, crashStream))
+		load.Go(func(context.Context) { others.sendCrashing(ctx, gateways, random.IntN) })
+		load.Go(func(context.Context) { w.writeMalformed(ctx, rand.New(rand.NewPCG(o.Seed, crashStream+1)).IntN) })
+	}
+	if o.Parts {
+		random := rand.New(rand.NewPCG(o.Seed, partStream))
+		load.Go(func(context.Context) { others.sendCrashingParts(ctx, gateways, random.IntN) })
+	}
+	if o.Drills {
+		load.Go(func(context.Context) {
+			w.drills(ctx, gateways, rand.New(rand.NewPCG(o.Seed, drillsStream)).IntN)
+		})
+	}
+	if o.Words {
+		load.Go(func(context.Context) { w.sendFeedback(ctx, rand.New(rand.NewPCG(o.Seed, feedbackStream)).IntN) })
+	}
+	if o.Limits {
+		load.Go(func(context.Context) { w.limits(ctx, rand.New(rand.NewPCG(o.Seed, limitsStream)).IntN) })
+	}
+	if o.Evacuations {
+		load.Go(func(context.Context) {
+			w.evacuate(ctx, gateways, rand.New(rand.NewPCG(o.Seed, evacuationsStream)).IntN)
+		})
+	}
+	if o.Cold {
+		load.Go(func(context.Context) { w.coldAgain(ctx, rand.New(rand.NewPCG(o.Seed, coldStream+1)).IntN) })
+	}
+}
+
 // injectFaults begins the faults at their times and ends them all.
 func injectFaults(ctx context.Context, o *Options, faults []fault) {
 	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
