quarantine: requests that were merely in progress at an explained crash are released

What callers saw: nothing known; found by reading what a crash in a lock-step group leaves behind. Change: crashes that a quarantined part explains do not count against requests. The flag of a blamed part is in its record, and not derived from the number of crashes, by which a part that others explain would be blamed by who reads the store.

--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -93,7 +93,7 @@
 func (g *Gateway) logQuarantined(e *quarantine.Entry) {
 	fields := []slog.Attr{slog.String("identity", e.Key.String()), slog.Int("replicas", len(e.CrashedReplicas))}
 	switch {
-	case e.Part && e.Quarantined():
+	case e.Part && g.Quarantine.Blames(e.Key):
 		g.Log.Warn("prompt part quarantined", append(fields, slog.Int("survived", len(e.Survived)), slog.Bool("served_before", e.ServedBefore))...)
 	case e.Part:
 	case e.Quarantined():
--- a/internal/core/quarantine/blame.go
+++ b/internal/core/quarantine/blame.go
@@ -6,7 +6,8 @@
 	"graniteknot.org/go/catalog"
 )
 
-// assignBlame returns the parts that crash replicas, by what is known of all parts. Parts
+// assignBlame returns the parts that crash replicas, by what is known of all parts, and the
+// crashes that these explain. Parts
 // that were never served come first. Among these the ones with the most crashes are blamed,
 // and explain their crashes; a part that was merely in progress at the same crashes is then
 // left with too few of its own. A part that was never served and was blamed before remains
@@ -15,7 +16,7 @@
 // Parts that were in progress at exactly the same crashes cannot be told apart. Until one
 // more crash, which mostly tells which of them it is, only requests with all of them are to
 // blame.
-func assignBlame(entries map[Key]*tableEntry) map[Key]*blame {
+func assignBlame(entries map[Key]*tableEntry) (map[Key]*blame, map[catalog.Mark]bool) {
 	a := assignment{blames: map[Key]*blame{}, explained: map[catalog.Mark]bool{}}
 	for _, servedBefore := range []bool{false, true} {
 		var candidates []*tableEntry
@@ -26,7 +27,7 @@
 		}
 		a.assign(candidates)
 	}
-	return a.blames
+	return a.blames, a.explained
 }
 
 // blame is what a part is blamed for.
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -169,17 +169,23 @@
 	triedSlot int64
 }
 
-// blocked reports whether requests with the entry's key must not reach replicas.
-func (e *tableEntry) blocked(now time.Time) bool {
-	if e.Part {
-		return e.blame != nil && !e.blame.jointly && !now.Before(e.blockedFrom())
+// requestBlocked reports whether the request must not reach replicas, but for explained crashes.
+func (e *tableEntry) requestBlocked(explained map[catalog.Mark]bool, now time.Time) bool {
+	if e.Part || e.Released {
+		return false
 	}
-	return e.Quarantined() || e.Suspect && !e.Released && now.Sub(e.firstKnown) < suspectTTL
+	n := e.openCrashCount(explained)
+	return n >= quarantineThreshold || e.Suspect && n > 0 && now.Sub(e.firstKnown) < suspectTTL
+}
+
+// partBlocked reports whether requests with the part must not reach replicas.
+func (e *tableEntry) partBlocked(now time.Time) bool {
+	return e.blame != nil && !e.blame.jointly && !now.Before(e.blockedFrom())
 }
 
-// blockedJointly reports whether a request must not reach replicas because it has all of some
+// partBlockedJointly reports whether a request must not reach replicas because it has all of some
 // parts that cannot be told apart.
-func (e *tableEntry) blockedJointly(s *Subject, now time.Time) bool {
+func (e *tableEntry) partBlockedJointly(s *Subject, now time.Time) bool {
 	if e.blame == nil || !e.blame.jointly || now.Before(e.blockedFrom()) {
 		return false
 	}
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -149,6 +149,28 @@
 	}
 }
 
+// TestExplainedCrashesReleaseRequests guards against keeping requests from replicas for crashes that a
+// part of others' prompts explains.
+func TestExplainedCrashesReleaseRequests(t *testing.T) {
+	r := newRecorder()
+	sound := key("sound")
+	for n := range catalog.Mark(3) {
+		r.RecordSubjectCrash(&quarantine.Subject{Request: sound}, n+1, true, r.now)
+		if !r.Blocked(sound, r.now) {
+			t.Error("a request that was in progress at a crash is not blocked before the part is known")
+		}
+		r.RecordSubjectCrash(subject(string(rune('a'+n)), "bad"), n+1, true, r.now)
+		r.now = r.now.Add(4 * time.Second)
+	}
+	if !r.blocks("bad") || r.Blocked(sound, r.now) {
+		t.Error("the part is not blocked, or the request is")
+	}
+	r.RecordSubjectCrash(&quarantine.Subject{Request: sound}, 4, true, r.now)
+	if !r.Blocked(sound, r.now) {
+		t.Error("another crash does not block the request")
+	}
+}
+
 // TestServedPartNeedsMoreCrashes checks that a part that replicas served is blocked only after
 // five crashes and a second, so that survivals at other processes are heard of first, and that it
 // never hides one that was never served.
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -30,6 +30,7 @@
 	Part            bool           `json:"part,omitempty"`
 	Survived        []catalog.Mark `json:"survived,omitempty"`
 	ServedBefore    bool           `json:"served_before,omitempty"`
+	Blamed          bool           `json:"blamed,omitempty"`
 }
 
 // EncodeRecord returns the record of an entry that is or was quarantined, or released.
@@ -38,7 +39,7 @@
 	if e.Released {
 		return out, nil
 	}
-	value, err := json.Marshal(record{CrashedReplicas: e.CrashedReplicas, Part: e.Part, Survived: e.Survived, ServedBefore: e.ServedBefore})
+	value, err := json.Marshal(record{CrashedReplicas: e.CrashedReplicas, Part: e.Part, Survived: e.Survived, ServedBefore: e.ServedBefore, Blamed: e.Blamed})
 	if err != nil {
 		return out, &Error{Op: "write record", Kind: KindMalformed, Err: err}
 	}
@@ -62,8 +63,7 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return e, &Error{Op: "read record", Kind: KindMalformed, Err: err}
 	}
-	e.CrashedReplicas, e.Part, e.Survived, e.ServedBefore = v.CrashedReplicas, v.Part, v.Survived, v.ServedBefore
-	e.Blamed = e.Part && e.Quarantined()
+	e.CrashedReplicas, e.Part, e.Survived, e.ServedBefore, e.Blamed = v.CrashedReplicas, v.Part, v.Survived, v.ServedBefore, v.Blamed
 	if !e.Quarantined() && len(e.Survived) == 0 || e.oversized() {
 		return e, &Error{Op: "read record", Kind: KindMalformed, Err: fmt.Errorf("invalid number of crashed replicas: %d", len(e.CrashedReplicas))}
 	}
--- a/internal/core/quarantine/table.go
+++ b/internal/core/quarantine/table.go
@@ -21,22 +21,6 @@
 	// clients. Blocking the others as well costs little: they had received nothing yet, and
 	// their group is stalled for as long as their clients wait.
 	suspectTTL = time.Minute
-	// maxEntries bounds a table to 100 KB.
-	maxEntries = 1024
-	// burstWindow is the time within which at most maxBurstCrashes crashes are attributed to
-	// requests. A power failure ends hundreds of replicas, each with a dozen requests.
-	burstWindow     = time.Second
-	maxBurstCrashes = 3
-	// servedPartDelay is how long a part that was served before is quarantined until it is
-	// blocked: longer than it takes to hear from other processes that replicas outlive
-	// requests with it.
-	servedPartDelay = time.Second
-	// startPeriod is how long after the first survival a process cannot tell whether a part is
-	// served at all.
-	startPeriod = 2 * time.Second
-	// blameDelay is how long a part is blocked before it is marked as blamed: longer than
-	// it takes to hear of all requests that were in progress at a crash.
-	blameDelay = 400 * time.Millisecond
 )
 
 // Table holds the requests and the parts of prompts that replicas crashed on. The zero value
@@ -65,24 +49,21 @@
 	// neither sent to other processes nor received from them.
 	evidence map[Key]struct{}
 	waiters  map[*waiter]struct{}
+	// explained holds the crashes that quarantined parts explain. Requests that were merely in
+	// progress at these are not to blame.
+	explained map[catalog.Mark]bool
 	// recentCrashes are those of the last burstWindow.
 	recentCrashes []crash
 	// entryCount is len(entries); each request reads it without the lock.
 	entryCount atomic.Int32
 }
 
-// crash is the crash of one replica instance.
-type crash struct {
-	replica catalog.Mark
-	at      time.Time
-}
-
 // Empty reports whether the table has no entries.
 func (t *Table) Empty() bool { return t.entryCount.Load() == 0 }
 
-// Blocked reports whether a request must not reach replicas now, quarantined or suspect.
+// Blocked reports whether a request, or any request with a part, must not reach replicas now.
 func (t *Table) Blocked(k Key, now time.Time) bool {
-	return t.BlockedKey(&Subject{Request: k}, now) != nil
+	return t.BlockedKey(&Subject{Request: k, Parts: []Key{k}}, now) != nil
 }
 
 // BlockedKey returns the key because of which a request must not reach replicas now: its own,
@@ -95,17 +76,25 @@
 
 // blockedKey is BlockedKey with the lock held.
 func (t *Table) blockedKey(s *Subject, now time.Time) *Key {
-	if entry := t.entries[s.Request]; entry != nil && entry.blocked(now) {
+	if entry := t.entries[s.Request]; entry != nil && entry.requestBlocked(t.explained, now) {
 		return &s.Request
 	}
 	for i := range s.Parts {
-		if entry := t.entries[s.Parts[i]]; entry != nil && (entry.blocked(now) || entry.blockedJointly(s, now)) {
+		if entry := t.entries[s.Parts[i]]; entry != nil && (entry.partBlocked(now) || entry.partBlockedJointly(s, now)) {
 			return &s.Parts[i]
 		}
 	}
 	return nil
 }
 
+// Blames reports whether a part is quarantined.
+func (t *Table) Blames(part Key) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entry := t.entries[part]
+	return entry != nil && entry.blame != nil && !entry.blame.jointly
+}
+
 // Quarantined reports whether enough replicas crashed to quarantine a request.
 func (t *Table) Quarantined(k Key) bool {
 	t.mu.Lock()
@@ -156,51 +145,6 @@
 	}
 }
 
-// RecordSurvival records that a replica outlived a request with these parts in its prompt,
-// which clears them of all crashes that are known so far.
-func (t *Table) RecordSurvival(parts []Key, now time.Time) {
-	if len(parts) == 0 {
-		return
-	}
-	t.mu.Lock()
-	if t.firstSurvival.IsZero() {
-		t.firstSurvival = now
-	}
-	changed := false
-	for _, part := range parts {
-		t.served.add(part, now)
-		entry := t.entries[part]
-		if entry == nil || entry.openCrashCount(nil) == 0 {
-			continue
-		}
-		t.change(entry, &Entry{Key: part, Part: true, CrashedReplicas: entry.CrashedReplicas, Survived: entry.CrashedReplicas, ServedBefore: true})
-		t.addEvidence(part)
-		changed = true
-		if entry.blame != nil {
-			t.reassess(now)
-		}
-	}
-	t.mu.Unlock()
-	if changed && t.OnEvidence != nil {
-		t.OnEvidence()
-	}
-}
-
-// isIsolatedCrash reports whether few replicas crashed within burstWindow.
-func (t *Table) isIsolatedCrash(replica catalog.Mark, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.recentCrashes = slices.DeleteFunc(t.recentCrashes, func(c crash) bool { return now.Sub(c.at) > burstWindow })
-	if slices.ContainsFunc(t.recentCrashes, func(c crash) bool { return c.replica == replica }) {
-		return true
-	}
-	if len(t.recentCrashes) >= maxBurstCrashes {
-		return false
-	}
-	t.recentCrashes = append(t.recentCrashes, crash{replica, now})
-	return true
-}
-
 // applyLocal merges what this process observed, and reports the changes to OnChange.
 func (t *Table) applyLocal(changes []Entry, now time.Time) {
 	var changed []Entry
@@ -232,7 +176,7 @@
 		if entry.Part && (entry.blame != nil || entry.Quarantined()) {
 			t.reassess(now)
 		}
-		if entry.blame != nil || entry.blocked(now) {
+		if entry.blame != nil || entry.requestBlocked(t.explained, now) {
 			t.cancelBlocked(now)
 		}
 	}
@@ -280,134 +224,6 @@
 	return changed
 }
 
-// addEvidence notes that this process knows something in favor of a part.
-func (t *Table) addEvidence(part Key) {
-	if t.evidence == nil {
-		t.evidence = map[Key]struct{}{}
-	}
-	t.evidence[part] = struct{}{}
-}
-
-// TakeEvidence returns the entries of the parts in favor of which this process knows
-// something that other processes may not know. Another process that knows the same may send
-// it first; so a short random delay saves most messages.
-func (t *Table) TakeEvidence(now time.Time) []Entry {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Entry
-	for part := range t.evidence {
-		if entry := t.entries[part]; entry != nil {
-			out = append(out, entry.snapshot(now))
-		}
-	}
-	t.evidence = nil
-	return out
-}
-
-// reassess finds out which parts crash replicas.
-func (t *Table) reassess(now time.Time) {
-	blames := assignBlame(t.entries)
-	for k, entry := range t.entries {
-		entry.blame = blames[k]
-		switch {
-		case entry.blame == nil:
-			entry.quarantinedSince = time.Time{}
-		case entry.quarantinedSince.IsZero():
-			entry.quarantinedSince = now
-			starting := t.firstSurvival.IsZero() || now.Sub(t.firstSurvival) < startPeriod
-			entry.delayed = !entry.Blamed && (entry.ServedBefore || starting)
-		}
-	}
-}
-
-// settleBlame marks the parts that have been blocked for blameDelay.
-func (t *Table) settleBlame(now time.Time) {
-	for k, entry := range t.entries {
-		if entry.Part && !entry.Blamed && entry.blocked(now.Add(-blameDelay)) {
-			t.change(entry, &Entry{Key: k, Part: true, Blamed: true})
-		}
-	}
-}
-
-// add inserts a new entry; nil if there is no room. The caller holds the lock.
-func (t *Table) add(fresh *tableEntry, now time.Time) *tableEntry {
-	if len(t.entries) >= maxEntries {
-		t.expire(now)
-	}
-	if len(t.entries) >= maxEntries && !t.evict(fresh) {
-		return nil
-	}
-	if t.entries == nil {
-		t.entries = map[Key]*tableEntry{}
-	}
-	t.entries[fresh.Key] = fresh
-	t.digest ^= fresh.checksum()
-	t.entryCount.Store(int32(len(t.entries)))
-	return fresh
-}
-
-// evict makes room for an entry by removing the oldest of those with the fewest crashes that
-// is not quarantined, or else the oldest of all; it never removes a quarantined entry for one that is not. The caller
-// holds the lock.
-func (t *Table) evict(fresh *tableEntry) bool {
-	var oldest *tableEntry
-	for _, entry := range t.entries {
-		if oldest == nil || entry.evictedBefore(oldest) {
-			oldest = entry
-		}
-	}
-	if oldest.Quarantined() && !fresh.Quarantined() {
-		return false
-	}
-	t.remove(oldest)
-	return true
-}
-
-// evictedBefore reports whether the entry is to be removed rather than another one.
-func (e *tableEntry) evictedBefore(other *tableEntry) bool {
-	if e.Quarantined() != other.Quarantined() {
-		return other.Quarantined()
-	}
-	if !e.Quarantined() && e.openCrashCount(nil) != other.openCrashCount(nil) {
-		return e.openCrashCount(nil) < other.openCrashCount(nil)
-	}
-	return e.firstKnown.Before(other.firstKnown)
-}
-
-func (t *Table) remove(entry *tableEntry) {
-	delete(t.entries, entry.Key)
-	t.digest ^= entry.checksum()
-	t.entryCount.Store(int32(len(t.entries)))
-}
-
-// Maintain removes expired entries and returns the keys of those that may have a record: requests
-// that were quarantined, and parts. It also applies the rules on parts that depend on the time
-// alone; call it every half second or so.
-func (t *Table) Maintain(now time.Time) []Key {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.settleBlame(now)
-	t.cancelBlocked(now)
-	return t.expire(now)
-}
-
-func (t *Table) expire(now time.Time) []Key {
-	var out []Key
-	for k, entry := range t.entries {
-		if !entry.expired(now) {
-			continue
-		}
-		if entry.Quarantined() || entry.Part {
-			out = append(out, k)
-		}
-		t.remove(entry)
-	}
-	if len(out) > 0 {
-		t.reassess(now)
-	}
-	return out
-}
-
 // Digest returns a digest of all entries; tables with the same entries have the same one.
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
