--- a/cmd/graniteknot/cmd/root.go
+++ b/cmd/graniteknot/cmd/root.go
@@ -97,6 +97,7 @@
 	registerExplain(app, commands)
 	registerLosses(app, commands)
 	registerVersions(app, commands)
+	registerQuarantine(app, commands)
 	registerStandin(app, commands)
 }
 
--- a/internal/core/quarantine/key.go
+++ b/internal/core/quarantine/key.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 
 	graniteknot "graniteknot.org/go"
 )
@@ -41,5 +42,16 @@
 	return out
 }
 
+// ParseKey reads the form that String returns.
+func ParseKey(text string) (Key, error) {
+	var out Key
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != keyBytes {
+		return out, &Error{Op: "read identity", Kind: KindMalformed, Err: fmt.Errorf("invalid identity %.40q", text)}
+	}
+	copy(out[:], b)
+	return out, nil
+}
+
 // String returns the hexadecimal form used in logs and records.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
--- a/internal/core/quarantine/record.go
+++ b/internal/core/quarantine/record.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -50,11 +49,10 @@
 // DecodeRecord returns the entry of a record.
 func DecodeRecord(r graniteknot.KeyedRecord) (Entry, error) {
 	var e Entry
-	key, err := hex.DecodeString(r.Key)
-	if err != nil || len(key) != keyBytes {
-		return e, &Error{Op: "read record", Kind: KindMalformed, Err: fmt.Errorf("invalid key %.40q", r.Key)}
+	var err error
+	if e.Key, err = ParseKey(r.Key); err != nil {
+		return e, err
 	}
-	copy(e.Key[:], key)
 	if len(r.Value) == 0 {
 		e.Released = true
 		return e, nil
