gateway, quarantine: a part is tried again once the replicas' software is replaced

Cause: a quarantined part was tried after 2, 8, 32 minutes and so on, also if replicas that are mended came earlier. Change: the version in replicas' records is read. While a part is quarantined each gateway compares the versions of a service's replicas with those at first; once none is left, one request of the fleet tries the part without delay.

--- a/catalog/replica.go
+++ b/catalog/replica.go
@@ -17,6 +17,8 @@
 	Service graniteknot.Service
 	Address graniteknot.Address
 	Zone    graniteknot.AvailabilityZone
+	// Version is that of its software.
+	Version string
 	// Slots is how many requests it processes at once.
 	Slots int
 	// Draining replicas get no new requests.
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -104,6 +104,8 @@
 	quarantinePacks presence.PackCache
 	// quarantineReplication tracks which quarantine entries peers and the store have.
 	quarantineReplication replicationState
+	// software is used by maintainQuarantine only.
+	software softwareWatch
 	// evidencePending is set while something in favor of prompt parts waits to be sent.
 	evidencePending atomic.Bool
 	// bundler collects what this gateway forwards as a relay. relaying is set while it is one, and
--- a/internal/core/gateway/quarantine.go
+++ b/internal/core/gateway/quarantine.go
@@ -243,6 +243,7 @@
 	for _, k := range g.Quarantine.Maintain(now) {
 		g.quarantineReplication.scheduleWrite(&quarantine.Entry{Key: k, Released: true}, now)
 	}
+	g.watchSoftware()
 	if !g.readsQuarantine(now) {
 		return
 	}
--- a/internal/core/quarantine/entry.go
+++ b/internal/core/quarantine/entry.go
@@ -162,6 +162,8 @@
 	// set if it is blocked servedPartDelay later.
 	quarantinedSince time.Time
 	delayed          bool
+	// tryAgainAt is the number of crashes at which the part is tried without delay; 0 for none.
+	tryAgainAt int
 	// blame is what the part is quarantined for; nil while it is not.
 	blame *blame
 	// triedSlot is the last trial slot, counted from 1, in which this process let a request
--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -305,6 +305,27 @@
 	}
 }
 
+// TestReplacedSoftwareIsTried checks that a part is tried at once after TryAgain, and with the usual
+// delay if that crashes a replica as well.
+func TestReplacedSoftwareIsTried(t *testing.T) {
+	r := newRecorder()
+	r.MayTry = func(quarantine.Key, int64) bool { return true }
+	for range 3 {
+		r.crash([]string{"bad"})
+	}
+	request := subject("new", "bad")
+	if r.Trial(request, r.now) {
+		t.Error("tried before it was due")
+	}
+	if r.TryAgain(); !r.Trial(request, r.now) {
+		t.Error("not tried")
+	}
+	r.crash([]string{"bad"})
+	if r.Trial(request, r.now.Add(time.Minute)) {
+		t.Error("tried again after a crash")
+	}
+}
+
 // TestPartCancelsWaiters checks that requests that wait are canceled when a part of their prompts
 // is quarantined that was unknown as they began to wait.
 func TestPartCancelsWaiters(t *testing.T) {
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -44,6 +44,17 @@
 	return t.blockedKey(&others, now) == nil
 }
 
+// TryAgain lets all quarantined parts be tried without delay, until the next crash.
+func (t *Table) TryAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, entry := range t.entries {
+		if entry.blame != nil {
+			entry.tryAgainAt = entry.openCrashCount(nil)
+		}
+	}
+}
+
 // trialSlot returns the number of the current trial slot, counted from 1; 0 before the first
 // trial is due.
 func (e *tableEntry) trialSlot(now time.Time) int64 {
@@ -57,6 +68,9 @@
 	if e.blame != nil && len(e.blame.tied) > 0 && now.Sub(e.quarantinedSince) >= tieTrial {
 		return true
 	}
+	if e.tryAgainAt > 0 && e.tryAgainAt == e.openCrashCount(nil) {
+		return true
+	}
 	due := firstTrial
 	for range e.openCrashCount(nil) - e.threshold() {
 		due *= trialBackoff
