--- a/internal/core/gateway/prompt_parts_test.go
+++ b/internal/core/gateway/prompt_parts_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -180,10 +181,13 @@
 		crash          platformtest.Script
 		parts          []string
 		answeredBefore bool
+		// interval is that of requests with a bad part; zero selects badInterval.
+		interval time.Duration
 	}{
 		"before the first event": {path: "/stream/", crash: platformtest.Crash, parts: []string{"bad1:300"}},
 		"after the first event":  {path: "/stream/", crash: platformtest.StreamAndCrash, parts: []string{"bad1:300"}},
 		"two parts":              {path: "/stream/", crash: platformtest.Crash, parts: []string{"bad1:300", "bad2:300"}},
+		"rare":                   {path: "/stream/", crash: platformtest.Crash, parts: []string{"bad1:300"}, interval: 900 * time.Millisecond},
 		"no stream":              {path: "/repeat/", crash: platformtest.Crash, parts: []string{"bad1:300"}},
 		"answered before":        {path: "/stream/", crash: platformtest.Crash, parts: []string{"bad1:300"}, answeredBefore: true},
 	}
@@ -191,14 +195,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			replicas := newCrashingReplicas(t, 12, slow(c.crash), c.parts...)
-			playPromptParts(t, replicas, c.path, c.answeredBefore)
+			playPromptParts(t, replicas, c.path, c.answeredBefore, cmp.Or(c.interval, badInterval))
 		})
 	}
 }
 
 // playPromptParts sends requests with the parts that crash replicas, and sound ones beside them, to
 // three gateways in turn.
-func playPromptParts(t *testing.T, c *crashingReplicas, path string, answeredBefore bool) {
+func playPromptParts(t *testing.T, c *crashingReplicas, path string, answeredBefore bool, interval time.Duration) {
 	boxes := []*box{start(t, c.store, nil), start(t, c.store, nil), start(t, c.store, nil)}
 	for _, b := range boxes {
 		defer b.stop()
@@ -222,7 +226,7 @@
 		})
 	}
 	var judged atomic.Bool
-	repeat(badInterval, func(i int, b *box) { b.postParts(path, firstPart, c.parts[i%len(c.parts)], thirdPart) })
+	repeat(interval, func(i int, b *box) { b.postParts(path, firstPart, c.parts[i%len(c.parts)], thirdPart) })
 	repeat(soundInterval, func(i int, b *box) {
 		counted := judged.Load()
 		ok := b.postParts(path, firstPart, fmt.Sprintf("a%d:60", i%8), thirdPart)
@@ -234,8 +238,8 @@
 		}
 	})
 	// The parts are either known by then, or have crashed five replicas each.
-	const learning = time.Second
-	delay.For(context.Background(), learning+contact)
+	const crashes, least = 6, time.Second
+	delay.For(context.Background(), max(crashes*interval, least)+contact)
 	judged.Store(true)
 	delay.For(context.Background(), 2*time.Second)
 	clients.Stop()
@@ -246,7 +250,7 @@
 		if c.crashCount(part) == 0 {
 			t.Errorf("no replica crashed under %s", part)
 		}
-		t.Logf("%s: %d crashes", part, c.crashCount(part))
+		t.Logf("%s: %d crashes, %d late requests, %d of %d sound requests served", part, c.crashCount(part), c.late(part), served.Load(), sent.Load())
 	}
 	if ratio := float64(served.Load()) / float64(sent.Load()); !(ratio >= minServed) {
 		t.Errorf("%d of %d sound requests were served", served.Load(), sent.Load())
