--- a/internal/core/gateway/limit_rig_test.go
+++ b/internal/core/gateway/limit_rig_test.go
@@ -156,7 +156,7 @@
 		return 0, 0, 0
 	}
 	r.Host = "h.example"
-	platformtest.Sign(r, fmt.Sprint("l", posts.Add(1)), "k1")
+	platformtest.Sign(r, fmt.Sprint("l", requestCount.Add(1)), "k1")
 	began := time.Now()
 	answer, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/internal/core/gateway/prompt_parts_test.go
+++ b/internal/core/gateway/prompt_parts_test.go
@@ -149,7 +149,7 @@
 func (b *box) postParts(path string, parts ...string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	n := posts.Add(1)
+	n := requestCount.Add(1)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s%d", b.Config.Requests, path, n), strings.NewReader(fmt.Sprint("body ", n)))
 	if err != nil {
 		b.t.Error(err)
@@ -269,7 +269,7 @@
 		return func() bool { return b.Quarantine.Blocked(quarantine.KeyOfPart("m", "bad1", 300), b.Clock.Now()) }
 	}
 	cut := &cutStore{KeyedStore: c.store}
-	first, away, alone := start(t, c.store, nil), start(t, cut, nil), start(t, hidden{c.store}, nil)
+	first, away, alone := start(t, c.store, nil), start(t, cut, nil), start(t, isolatedStore{c.store}, nil)
 	all := []*box{first, away, alone}
 	for _, b := range all {
 		eventually(t, "serves", func() bool { return sound(b) })
