quarantine: parts that only come together are tried together

Cause: a request is let through to try a part only if nothing else blocks it. Change: once the usual trial is due, the parts that a part is tied with do not count. Measured: TestInseparablePartsAreBlocked fails without the change, passes with it.

--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -39,8 +39,13 @@
 	if !t.MayTry(*key, slot) {
 		return false
 	}
-	// No other reason may block the request.
-	others := Subject{Request: s.Request, Parts: slices.DeleteFunc(slices.Clone(s.Parts), func(k Key) bool { return k == *key })}
+	// No other reason may block the request. A tie that no trial of one part has resolved is
+	// tried as a whole.
+	tried := []Key{*key}
+	if entry.fullTrialDue(now) {
+		tried = append(tried, entry.blame.tied...)
+	}
+	others := Subject{Request: s.Request, Parts: slices.DeleteFunc(slices.Clone(s.Parts), func(k Key) bool { return slices.Contains(tried, k) })}
 	return t.blockedKey(&others, now) == nil
 }
 
@@ -68,6 +73,11 @@
 	if e.blame != nil && len(e.blame.tied) > 0 && now.Sub(e.quarantinedSince) >= tieTrial {
 		return true
 	}
+	return e.fullTrialDue(now)
+}
+
+// fullTrialDue reports whether the part is due to be tried whether or not it is tied.
+func (e *tableEntry) fullTrialDue(now time.Time) bool {
 	if e.tryAgainAt > 0 && e.tryAgainAt == e.openCrashCount(nil) {
 		return true
 	}
