soak: a restarted replica has its script from the first request on

The replica had crashed 600.3 ms before, and restarts after 600 ms at the same address: the gateway's probe came between the listener's start and the moment at which the run sets its script, and got the stand-in's default answer. Change: Again takes the script and listens with it.

--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -42,16 +42,16 @@
 	if ctx.Err() != nil {
 		return
 	}
-	next, err := s.Again()
+	born++
+	again := &replica{born: born, zone: s.zone}
+	next, err := s.Again(again.work)
 	if err != nil {
 		// Another process has taken the port: the replica stays down.
 		return
 	}
-	born++
-	again := &replica{Replica: next, born: born, zone: s.zone}
-	next.Always(again.work)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	again.Replica = next
 	w.startCold(again)
 	w.all = append(w.all, again)
 	if i := slices.Index(w.replicas, s); i >= 0 {
