--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -187,7 +187,7 @@
 	},
 	{
 		Name: "a follower reads on across eras", File: "platform/store.go",
-		Old: "\tif from.Era() < s.known() {\n\t\t// Whatever", New: "\tif false {\n\t\t// Whatever",
+		Old: "\tif from.Era() < s.known() {\n\t\t// In the new", New: "\tif false {\n\t\t// In the new",
 		Package: "platform", Test: "TestFollowerAcrossADrill",
 	},
 	{
