ranks: a release and a map in force are logged with what is known of each rank

Cause: no line told on what knowledge of the ranks a coordinator lets a held step begin, nor when a map comes into force at a rank or what it contains, so the hypotheses of the incident of two maps in one step could not be told apart by logs. No decision changes. Result: tests of ranks and sidecar pass.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -136,6 +136,8 @@
 	// need not read the ranks.
 	statesCurrent bool
 	lastOrders    []held.Order
+	// loggedRelease is the last release order that was logged.
+	loggedRelease held.Order
 	// countsReady signals new counts from the aggregator.
 	countsReady chan struct{}
 	// rounds counts the rounds.
@@ -256,6 +258,7 @@
 		c.aggregator.pause()
 	}
 	c.publishForecast()
+	c.logRelease(&decision)
 	if c.statesCurrent = c.sendOrders(ctx, decision.Orders, now) && c.armsNewly(&decision); c.statesCurrent {
 		return 0, 0
 	}
--- a/internal/core/ranks/executor.go
+++ b/internal/core/ranks/executor.go
@@ -41,6 +41,7 @@
 
 	httpPeers    httpPeers
 	recentMaps   recentMaps
+	mapLog       mapLog
 	countHistory countHistory
 
 	mu sync.Mutex
@@ -102,6 +103,11 @@
 	return 0
 }
 
+// Observe records a state of the local rank and logs each map that comes into force.
+func (e *Executor) Observe(s *held.State) {
+	e.mapLog.observe(e.Log, s, e.recentMaps.digest(s.Epoch, s.Current))
+}
+
 // Look implements wire.Ranks.
 func (e *Executor) Look(ctx context.Context, r *wire.LookRequest) (*wire.LookReply, error) {
 	if r.GetFence() != 0 {
@@ -116,6 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.Observe(&report.State)
 	fence, heardAt := e.Fence()
 	reply := &wire.LookReply{
 		Group: string(report.Group), Rank: int32(report.Rank), Size: int32(report.GroupSize), Target: string(e.Target),
@@ -199,6 +206,9 @@
 		slog.Int64("epoch", int64(c.Epoch)), slog.Int64("fence", int64(c.Fence)), slog.String("result", result.String()),
 		slog.Int("tries", attempts), eventlog.Milliseconds("took", time.Since(began)),
 	}
+	if c.Kind == held.KindPrepare {
+		fields = append(fields, slog.String("digest", e.recentMaps.digest(c.Epoch, c.Version)))
+	}
 	if err != nil {
 		e.Log.Warn("order", append(fields, slog.String("error", err.Error()))...)
 		return result
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -89,6 +89,8 @@
 	lists  [][]graniteknot.Expert
 	// pace is the rank's pass time relative to normal; above 1 is slow, 0 is unknown.
 	pace float64
+	// source is how the state is known.
+	source source
 }
 
 // NewMember returns a member that is called through its sidecar's client or, when the
@@ -163,7 +165,7 @@
 	if err != nil {
 		return
 	}
-	s := snapshot{state: report.State, pace: report.Pace}
+	s := snapshot{state: report.State, pace: report.Pace, source: sourceDirect}
 	if lists {
 		if s.lists, err = m.direct.Lists(ctx); err != nil {
 			return
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -104,6 +104,7 @@
 	case held.KindPrepare:
 		return
 	}
+	m.latest.source = sourceOrder
 	m.latestAt = m.clock.Now()
 }
 
--- a/internal/core/ranks/recent_maps.go
+++ b/internal/core/ranks/recent_maps.go
@@ -22,18 +22,33 @@
 	epoch     held.Epoch
 	version   held.Version
 	placement *planner.Placement
+	// digest identifies the placement.
+	digest string
 }
 
 // add stores a map.
 func (m *recentMaps) add(e held.Epoch, v held.Version, p *planner.Placement) {
+	entry := recentMap{epoch: e, version: v, placement: p, digest: digest(p)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.entries = append(m.entries, recentMap{e, v, p})
+	m.entries = append(m.entries, entry)
 	if len(m.entries) > maxRecentMaps {
 		m.entries = m.entries[1:]
 	}
 }
 
+// digest returns the digest of a stored map; empty if it is unknown.
+func (m *recentMaps) digest(e held.Epoch, v held.Version) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.entries {
+		if known.epoch == e && known.version == v {
+			return known.digest
+		}
+	}
+	return ""
+}
+
 // withMoves returns a stored map with moves applied; false when it is unknown or the moves
 // don't fit it.
 func (m *recentMaps) withMoves(e held.Epoch, base held.Version, moves []int32) (*planner.Placement, bool) {
--- a/internal/core/ranks/snapshots.go
+++ b/internal/core/ranks/snapshots.go
@@ -94,6 +94,7 @@
 	decision := held.DecideWithMissingRank(states, c.FormerRank, c.desired)
 	c.desired.ReleasedStep = max(c.desired.ReleasedStep, decision.ReleasedStep)
 	c.enterPhase(decision.Phase)
+	c.logRelease(&decision)
 	c.sendOrders(ctx, decision.Orders, now)
 	return incompleteInterval
 }
--- a/internal/core/sidecar/sidecar.go
+++ b/internal/core/sidecar/sidecar.go
@@ -205,6 +205,7 @@
 func (s *Sidecar) setReport(r *held.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.executor.Observe(&r.State)
 	s.report, s.readAt = *r, s.Clock.Now()
 	s.passTime = s.passes.observe(r.State.Step, r.Running > 0, s.readAt)
 }
