ranks: passes with different maps when answers come late (failing test)

The answer to an arm that arrives after a report which shows its map in force makes the rank look armed again; the next switch's held step is then let go (release: rank 3 map=1048593 armed=1048593@215 by=order, held=226, three others armed=1048594@226). And one version with two contents (map 6291458 with two digests) where sidecars restart and coordinators follow one another.

--- a/internal/core/ranks/fixture_test.go
+++ b/internal/core/ranks/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,11 @@
 	// freezable replaces the sidecar of freezableRank; nil for none.
 	freezable     *freezableExecutor
 	freezableRank int
+	// peers delays calls between sidecars, local those to ranks; nil for neither.
+	peers, local *lateness
+
+	// mu guards the elements of executors once sidecars restart.
+	mu sync.Mutex
 }
 
 func newFixture(s planner.Shape, seed uint64) *fixture {
@@ -62,11 +68,29 @@
 	if f.freezable != nil && rank == f.freezableRank {
 		return f.freezable
 	}
-	return f.executors[rank]
+	return f.sidecar(rank)
+}
+
+// sidecar returns a client for a rank's sidecar.
+func (f *fixture) sidecar(rank int) wire.Ranks {
+	current := func() wire.Ranks {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.executors[rank]
+	}
+	if f.peers == nil {
+		return current()
+	}
+	return &latePeer{lateness: f.peers, sidecar: current}
 }
 
 func (f *fixture) stop() {
 	f.run.Stop()
+	for _, l := range []*lateness{f.peers, f.local} {
+		if l != nil {
+			l.running.Wait()
+		}
+	}
 	f.group.Wait()
 }
 
@@ -91,8 +115,8 @@
 func (f *fixture) coordinatorAfter(fence graniteknot.Position, own, former graniteknot.Rank) *ranks.Coordinator {
 	s := f.group.Shape
 	var members []*ranks.Member
-	for r, e := range f.executors {
-		members = append(members, ranks.NewMember(graniteknot.Rank(r), e, sidecarAddress(r), f.group.Rank(graniteknot.Rank(r))))
+	for r := range f.executors {
+		members = append(members, ranks.NewMember(graniteknot.Rank(r), f.sidecar(r), sidecarAddress(r), f.rank(graniteknot.Rank(r))))
 	}
 	return ranks.NewCoordinator(ranks.Config{
 		Fence: fence, OwnRank: own, FormerRank: former, Members: members,
@@ -124,7 +148,7 @@
 	t.Helper()
 	shown := f.group.Show()
 	if shown.Apart > 0 {
-		t.Fatalf("%d passes began with different maps", shown.Apart)
+		t.Fatalf("%d passes began with different maps, the first at %s", shown.Apart, shown.FirstApart)
 	}
 	return shown
 }
--- a/internal/standin/obeying/group.go
+++ b/internal/standin/obeying/group.go
@@ -1,10 +1,12 @@
 // Package obeying is a stand-in of a lock-step group whose ranks obey orders:
 // they prepare, hold, arm and go on as they are told, check epochs and fences,
 // and compare nothing with each other. Orders may be lost, or carried out late.
+// Passes that begin with maps of different versions or contents are counted.
 package obeying
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -24,6 +26,8 @@
 	// LateTo later.
 	LateShare        float64
 	LateFrom, LateTo time.Duration
+	// Unfenced ranks obey orders with any fence.
+	Unfenced bool
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -32,8 +36,10 @@
 	step   graniteknot.Step
 	// liked is how often each expert is chosen in a pass, by set and expert.
 	liked planner.Loads
-	// apart counts the passes that began with different maps at two ranks.
-	apart int
+	// apart counts the passes that began with different maps at two ranks; firstApart tells
+	// of the first.
+	apart      int
+	firstApart string
 	// stood is how long the group has been kept from a pass by a hold.
 	stood, longest time.Duration
 	wait           group.Group
@@ -46,9 +52,11 @@
 	state  held.State
 	// placements of the map in force and the prepared one.
 	now, prepared [][]graniteknot.Expert
-	highest       held.Version
-	fence         graniteknot.Position
-	counts        []uint64
+	// digest and preparedDigest are those of all ranks' experts under these maps.
+	digest, preparedDigest uint64
+	highest                held.Version
+	fence                  graniteknot.Position
+	counts                 []uint64
 	// Deaf ranks answer nothing.
 	deaf bool
 	// pace above 1 is a slow rank.
@@ -71,6 +79,7 @@
 	for _, r := range g.ranks {
 		r.state = held.State{Epoch: g.epoch, GroupRunning: true, Step: g.step}
 		r.now, r.prepared = lists(dealt, r.number), nil
+		r.digest = digest(dealt)
 		r.highest = 0
 	}
 }
@@ -141,7 +150,11 @@
 		r.begin(next)
 	}
 	for _, r := range g.ranks {
-		if r.state.Current != g.ranks[0].state.Current {
+		if first := g.ranks[0]; r.state.Current != first.state.Current || r.digest != first.digest {
+			if g.apart == 0 {
+				g.firstApart = fmt.Sprintf("step %d: rank 0 has map %d (%x), rank %d has map %d (%x)",
+					next, first.state.Current, first.digest, r.number, r.state.Current, r.digest)
+			}
 			g.apart++
 			return
 		}
@@ -154,6 +167,7 @@
 	if s.Armed != 0 && s.ArmedAt == step {
 		s.Current, s.Armed, s.ArmedAt, s.Prepared = s.Armed, 0, 0, 0
 		r.now, r.prepared = r.prepared, nil
+		r.digest = r.preparedDigest
 	}
 	at := 0
 	for l := range r.group.liked {
@@ -166,8 +180,9 @@
 
 // Shown is what a group shows of itself.
 type Shown struct {
-	// Apart counts passes with different maps.
-	Apart int
+	// Apart counts passes with different maps, and FirstApart describes the first.
+	Apart      int
+	FirstApart string
 	// Longest is the longest time that the group was kept from a pass.
 	Longest time.Duration
 	// Mappings are the maps in force, by rank.
@@ -185,7 +200,7 @@
 func (g *Group) Show() Shown {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := Shown{Apart: g.apart, Longest: g.longest, Step: g.step}
+	out := Shown{Apart: g.apart, FirstApart: g.firstApart, Longest: g.longest, Step: g.step}
 	p := planner.NewRoundRobin(g.Shape)
 	for _, r := range g.ranks {
 		out.Mappings = append(out.Mappings, r.state.Current)
--- a/internal/standin/obeying/rank.go
+++ b/internal/standin/obeying/rank.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -67,10 +69,10 @@
 	g := r.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.Fence < r.fence {
+	if c.Fence < r.fence && !g.Unfenced {
 		return held.ResultFenced, nil
 	}
-	r.fence = c.Fence
+	r.fence = max(r.fence, c.Fence)
 	if c.Epoch != r.state.Epoch {
 		return held.ResultConflict, nil
 	}
@@ -105,13 +107,13 @@
 			}
 		}
 	}
-	epoch := r.state.Epoch
+	epoch, contents := r.state.Epoch, digest(c.Placement)
 	r.group.wait.Go(func(context.Context) {
 		time.Sleep(time.Duration(fresh) * r.group.Load)
 		r.group.mu.Lock()
 		defer r.group.mu.Unlock()
 		if r.highest == c.Version && r.state.Epoch == epoch {
-			r.state.Prepared, r.prepared = c.Version, next
+			r.state.Prepared, r.prepared, r.preparedDigest = c.Version, next, contents
 		}
 	})
 }
@@ -128,6 +130,18 @@
 	return out
 }
 
+// digest hashes which experts each rank holds, in whatever order.
+func digest(p *planner.Placement) uint64 {
+	hash := fnv.New64a()
+	for r := range p.Shape.Ranks {
+		for _, experts := range lists(p, graniteknot.Rank(r)) {
+			slices.Sort(experts)
+			_, _ = fmt.Fprint(hash, experts)
+		}
+	}
+	return hash.Sum64()
+}
+
 func has(list []graniteknot.Expert, e graniteknot.Expert) bool {
 	for _, v := range list {
 		if v == e {
