ranks, held: an answer that arrives late no longer makes a rank look armed

Cause: the outcome of an order was written over the rank's last report and dated with its arrival. The answer to an arm that came after a report which showed the map in force made the rank look armed again, for a step that had passed. held.Decide took any armed rank for the state of the switch, and every rank that ran its map for done; it released whatever step was held then, that of the next switch, for which some ranks were not armed. Reports that overlapped were ordered by the start of the call, so an older one could replace a newer one too. Why this works: reports of a rank are ordered by when they were read and, where that overlaps, by the step that they show. Answers are kept beside the report and change what it shows only while their step has not begun there. Decide releases a step only if all ranks are armed for that map and step; states that can't be of one moment, and arms that may still be on their way, release nothing and are read again. A switch releases no step later than its own, whose release could come late. No map replaces another one once a hold was sent.

--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -21,9 +21,12 @@
 	PhaseReleasing
 	// PhaseArmed waits until the armed step begins.
 	PhaseArmed
+	// PhaseUnclear groups have to be read again: the states contradict each other, or
+	// orders that were sent may still be carried out.
+	PhaseUnclear
 )
 
-var phaseWords = [...]string{"closed", "idle", "preparing", "holding", "arming", "releasing", "armed"}
+var phaseWords = [...]string{"closed", "idle", "preparing", "holding", "arming", "releasing", "armed", "unclear"}
 
 // String returns the word used in logs.
 func (p Phase) String() string { return phaseWords[p] }
@@ -71,17 +74,22 @@
 		return Decision{}
 	}
 	switch {
+	case g.contradictory:
+		return Decision{Phase: PhaseUnclear}
 	case g.armed != 0:
 		return g.rollForward(states, g.armed, g.armedAt, w.OwnRank)
 	case w.ReleasedStep > g.step:
-		return Decision{Phase: PhaseReleasing, Orders: g.release(states), ReleasedStep: w.ReleasedStep}
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states, w.ReleasedStep), ReleasedStep: w.ReleasedStep}
 	case g.apart:
 		// The ranks were read while the group passed from one map to the next.
 		return Decision{Phase: PhaseArmed}
 	case g.held != NoStep && g.prepared != 0:
 		return g.rollForward(states, g.prepared, g.armAt(states, w), w.OwnRank)
+	case w.ArmStep > g.step:
+		// An arm may be carried out until that step begins.
+		return Decision{Phase: PhaseUnclear}
 	case g.held != NoStep:
-		return Decision{Phase: PhaseReleasing, Orders: g.release(states), ReleasedStep: g.lastHeld}
+		return Decision{Phase: PhaseReleasing, Orders: g.release(states, g.lastHeld), ReleasedStep: g.lastHeld}
 	case g.prepared != 0 && (w.NewVersion == 0 || g.prepared == w.NewVersion):
 		return g.hold(w)
 	case w.NewVersion != 0:
@@ -93,10 +101,11 @@
 // armAt chooses the held step to arm for. Late orders of former keepers may hold
 // other steps too.
 func (g *group) armAt(states []State, w CoordinatorState) graniteknot.Step {
-	for _, own := range []graniteknot.Step{w.ArmStep, w.HoldStep} {
-		if own > g.step && holds(states, own) {
-			return own
-		}
+	if w.ArmStep > g.step {
+		return w.ArmStep
+	}
+	if w.HoldStep > g.step && holds(states, w.HoldStep) {
+		return w.HoldStep
 	}
 	return g.held
 }
@@ -135,7 +144,7 @@
 	d := Decision{Phase: PhaseArming}
 	var last []Order
 	for r, s := range states {
-		if s.Armed == v || s.Current == v {
+		if s.Armed == v && s.ArmedAt == at {
 			continue
 		}
 		o := Order{Kind: KindArm, Rank: graniteknot.Rank(r), Version: v, Step: at, Epoch: g.epoch}
@@ -151,17 +160,18 @@
 	if len(d.Orders) > 0 {
 		return d
 	}
-	if g.held == NoStep {
+	if g.held == NoStep || g.held > at {
 		return Decision{Phase: PhaseArmed}
 	}
-	return Decision{Phase: PhaseReleasing, Orders: g.release(states)}
+	return Decision{Phase: PhaseReleasing, Orders: g.release(states, at)}
 }
 
-// release lets every rank that holds a step go on.
-func (g *group) release(states []State) []Order {
+// release lets every rank that holds a step up to the last one go on. A later step may be held
+// again for the next switch, which a late order must not release.
+func (g *group) release(states []State, last graniteknot.Step) []Order {
 	var out []Order
 	for r, s := range states {
-		if s.Held != NoStep {
+		if s.Held > g.step && s.Held <= last {
 			out = append(out, Order{Kind: KindRelease, Rank: graniteknot.Rank(r), Step: s.Held, Epoch: g.epoch})
 		}
 	}
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -14,8 +14,12 @@
 	// prepared is the map that all ranks have loaded; 0 when they differ or it
 	// is no newer than the one in force.
 	prepared Version
-	armed    Version
-	armedAt  graniteknot.Step
+	// armed is the map that ranks are armed for, as armedAt begins; 0 for none.
+	armed   Version
+	armedAt graniteknot.Step
+	// contradictory tells that the states can't all be of one moment: a rank is armed for a
+	// step that another one has begun, or two are armed for different maps or steps.
+	contradictory bool
 	// held is the first step that any rank holds; NoStep for none.
 	held graniteknot.Step
 	// lastHeld is the last such step.
@@ -38,16 +42,37 @@
 		if s.Prepared != g.prepared {
 			g.prepared = 0
 		}
-		if s.Armed != 0 {
-			g.armed, g.armedAt = s.Armed, s.ArmedAt
-		}
-		g.lastHeld = max(g.lastHeld, s.Held)
-		if s.Held != NoStep && (g.held == NoStep || s.Held < g.held) {
-			g.held = s.Held
-		}
 	}
 	if g.prepared <= g.mapping {
 		g.prepared = 0
 	}
+	g.sumArmed(states)
+	g.sumHeld(states)
 	return g, true
 }
+
+// sumArmed finds the map that ranks are armed for. The latest step must be known.
+func (g *group) sumArmed(states []State) {
+	for _, s := range states {
+		if s.Armed == 0 {
+			continue
+		}
+		if g.armed != 0 && (s.Armed != g.armed || s.ArmedAt != g.armedAt) || s.ArmedAt <= g.step || s.Armed <= g.mapping {
+			g.contradictory = true
+		}
+		g.armed, g.armedAt = s.Armed, s.ArmedAt
+	}
+}
+
+// sumHeld finds the held steps. One that has begun was released since that rank was read.
+func (g *group) sumHeld(states []State) {
+	for _, s := range states {
+		if s.Held <= g.step {
+			continue
+		}
+		g.lastHeld = max(g.lastHeld, s.Held)
+		if g.held == NoStep || s.Held < g.held {
+			g.held = s.Held
+		}
+	}
+}
--- a/expertmap/held/without.go
+++ b/expertmap/held/without.go
@@ -19,7 +19,7 @@
 func DecideWithMissingRank(states []State, missing graniteknot.Rank, w CoordinatorState) Decision {
 	others := slices.Delete(slices.Clone(states), int(missing), int(missing)+1)
 	g, whole := sum(others)
-	if !whole || g.apart {
+	if !whole || g.apart || g.contradictory {
 		return Decision{}
 	}
 	if g.armed != 0 || w.ArmStep > g.step {
@@ -31,5 +31,5 @@
 	}
 	known := slices.Clone(states)
 	known[missing] = State{}
-	return Decision{Phase: PhaseReleasing, Orders: g.release(known), ReleasedStep: g.lastHeld}
+	return Decision{Phase: PhaseReleasing, Orders: g.release(known, g.lastHeld), ReleasedStep: g.lastHeld}
 }
--- a/internal/core/ranks/intervals.go
+++ b/internal/core/ranks/intervals.go
@@ -23,7 +23,7 @@
 
 func (c *Coordinator) roundInterval(p held.Phase) time.Duration {
 	switch p {
-	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing:
+	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing, held.PhaseUnclear:
 		return fastInterval
 	case held.PhasePreparing, held.PhaseArmed:
 		return slowInterval + c.callPause()
@@ -44,7 +44,7 @@
 // force. Reading counts would delay that on narrow links.
 func (c *Coordinator) switching(now time.Time) bool {
 	switch c.phase {
-	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing:
+	case held.PhaseHolding, held.PhaseArming, held.PhaseReleasing, held.PhaseUnclear:
 		return true
 	case held.PhasePreparing:
 		return now.Sub(c.phaseSince) < distributionTime
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -46,10 +46,8 @@
 	direct held.Rank
 	calls  group.Group
 
-	mu sync.Mutex
-	// latest is the newest snapshot, from a look that began at latestAt.
-	latest   snapshot
-	latestAt time.Time
+	mu    sync.Mutex
+	known knowledge
 	// heardAt is when the sidecar last answered, or was first called.
 	heardAt time.Time
 	// inFlight counts the calls in flight by content.
@@ -165,13 +163,16 @@
 	if err != nil {
 		return
 	}
+	ended := m.clock.Now()
 	s := snapshot{state: report.State, pace: report.Pace, source: sourceDirect}
 	if lists {
 		if s.lists, err = m.direct.Lists(ctx); err != nil {
 			return
 		}
 	}
-	m.storeSnapshot(s, began.Add(-directReportLag))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known.addReport(s, began.Add(-directReportLag), ended)
 }
 
 // ping checks whether a silent sidecar answers again.
@@ -191,32 +192,23 @@
 	m.foreignFence = max(m.foreignFence, graniteknot.Position(reply.GetFenced()))
 	m.mu.Unlock()
 	if reply.GetFenced() == 0 {
-		m.storeSnapshot(snapshot{state: stateFromWire(reply.GetState()), counts: reply.GetCounts(), lists: listsFromWire(reply.GetLists()), pace: reply.GetPace()}, began)
+		m.addReport(snapshot{state: stateFromWire(reply.GetState()), counts: reply.GetCounts(), lists: listsFromWire(reply.GetLists()), pace: reply.GetPace(), source: sourceSidecar}, began)
 	}
 }
 
-// storeSnapshot stores a snapshot unless a newer one is known.
-func (m *Member) storeSnapshot(s snapshot, began time.Time) {
+// addReport stores a report of which the call began at a time.
+func (m *Member) addReport(s snapshot, began time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if began.Before(m.latestAt) {
-		return
-	}
-	if s.lists == nil {
-		s.lists = m.latest.lists
-	}
-	if s.counts == nil {
-		s.counts = m.latest.counts
-	}
-	m.latest, m.latestAt = s, began
+	m.known.addReport(s, began, m.clock.Now())
 }
 
-// lastSnapshot returns the newest snapshot and when its look began; a zero time if there is
-// none.
+// lastSnapshot returns what is known of the rank and when the look that it rests on began; a zero
+// time if there is none.
 func (m *Member) lastSnapshot() (snapshot, time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.latest, m.latestAt
+	return m.known.snapshot(), m.known.began
 }
 
 // acceptsFence reports whether the rank has accepted this coordinator's fencing token and so
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -80,34 +80,11 @@
 		m.fenceAccepted = true
 	case held.ResultDone:
 		m.fenceAccepted = true
-		m.applyDone(c)
+		m.known.addOrder(&c.Order, m.clock.Now())
 	case held.ResultUnknown:
 	}
 }
 
-// applyDone updates the snapshot with an order that the rank carried out. This is as good
-// as a look and available sooner. Looks that began before it are discarded.
-func (m *Member) applyDone(c *held.Command) {
-	s := &m.latest.state
-	if s.Epoch != c.Epoch || m.latestAt.IsZero() {
-		return
-	}
-	switch c.Kind {
-	case held.KindHold:
-		s.Held = c.Step
-	case held.KindArm:
-		s.Armed, s.ArmedAt = c.Version, c.Step
-	case held.KindRelease:
-		if s.Held == c.Step {
-			s.Held = held.NoStep
-		}
-	case held.KindPrepare:
-		return
-	}
-	m.latest.source = sourceOrder
-	m.latestAt = m.clock.Now()
-}
-
 // giveRequest encodes a command, with the map as moves from its base if there is one.
 func giveRequest(c *held.Command) *wire.GiveRequest {
 	r := commandToWire(c)
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -131,10 +131,10 @@
 }
 
 // canReplacePending reports whether the load shift allows a newer map to replace the one
-// being prepared. No hold has been requested yet, so no rank can be armed for it. A map
+// being prepared. No hold has been requested yet, so no rank can be armed for it, now or later. A map
 // that replaced another stays, or ranks would load forever.
 func (c *Coordinator) canReplacePending() bool {
-	return c.planOutdated && !c.replacedPending && c.phase == held.PhasePreparing
+	return c.planOutdated && !c.replacedPending && c.phase == held.PhasePreparing && c.desired.HoldStep == held.NoStep
 }
 
 // expertLoadTime returns how long a rank takes to load one expert; 0 is unknown.
--- a/internal/core/ranks/release_log.go
+++ b/internal/core/ranks/release_log.go
@@ -15,15 +15,15 @@
 type source uint8
 
 const (
-	// sourceSidecar states were read by the rank's sidecar.
-	sourceSidecar source = iota
 	// sourceDirect states were read from another box.
-	sourceDirect
+	sourceDirect source = iota
+	// sourceSidecar states were read by the rank's sidecar.
+	sourceSidecar
 	// sourceOrder states include the outcome of an order.
 	sourceOrder
 )
 
-var sourceWords = [...]string{"sidecar", "direct", "order"}
+var sourceWords = [...]string{"direct", "sidecar", "order"}
 
 // knownState is what the coordinator knows of some ranks.
 type knownState struct {
--- a/internal/core/ranks/switch_timing.go
+++ b/internal/core/ranks/switch_timing.go
@@ -63,7 +63,7 @@
 		}
 	case held.PhaseUnavailable:
 		t.switchStarted = time.Time{}
-	case held.PhasePreparing, held.PhaseArming, held.PhaseReleasing:
+	case held.PhasePreparing, held.PhaseArming, held.PhaseReleasing, held.PhaseUnclear:
 	}
 }
 
