ranks: a map sent as changes has one content at all ranks

Cause: a map is sent as changes by slot to a map that the sidecar remembers by version. A new coordinator rebuilds the map in force from what ranks list, in which empty slots are not told, so its slots differ from those that sidecars remember. They applied the changes to other slots, each alike; a sidecar that had started again since was sent the whole map, and its rank got another content than the others. Why this works: a coordinator sends changes only to maps whose slots it knows: the initial one, and those that it sent itself. A prepare with changes carries a digest of the result; a sidecar that gets another result answers that it does not know the base, and is sent the whole map.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -105,7 +105,10 @@
 	// placement is the map in force, mapping its version.
 	placement *planner.Placement
 	mapping   held.Version
-	epoch     held.Epoch
+	// slotsKnown reports that the experts' slots in placement are those in which sidecars know
+	// them. Ranks list their experts without the empty slots.
+	slotsKnown bool
+	epoch      held.Epoch
 	// pending is the map being switched to; nil for none.
 	pending *planner.Placement
 	desired held.CoordinatorState
--- a/internal/core/ranks/executor.go
+++ b/internal/core/ranks/executor.go
@@ -155,7 +155,7 @@
 	if c.Kind == held.KindPrepare {
 		if c.Placement == nil {
 			placement, ok := e.placementFromMoves(c.Epoch, r)
-			if !ok {
+			if !ok || mapDigest(r.GetDigest()) != digest(placement) {
 				return &wire.GiveReply{UnknownBase: true}, nil
 			}
 			c.Placement = placement
@@ -207,7 +207,7 @@
 		slog.Int("tries", attempts), eventlog.Milliseconds("took", time.Since(began)),
 	}
 	if c.Kind == held.KindPrepare {
-		fields = append(fields, slog.String("digest", e.recentMaps.digest(c.Epoch, c.Version)))
+		fields = append(fields, slog.String("digest", e.recentMaps.digest(c.Epoch, c.Version).String()))
 	}
 	if err != nil {
 		e.Log.Warn("order", append(fields, slog.String("error", err.Error()))...)
--- a/internal/core/ranks/map_log.go
+++ b/internal/core/ranks/map_log.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"hash/fnv"
 	"log/slog"
-	"slices"
 	"strconv"
 	"sync"
 
@@ -24,7 +23,7 @@
 
 // observe logs the map in force if it is not the last one seen. The step is the latest one begun,
 // which may be some steps after the map's first.
-func (l *mapLog) observe(log *eventlog.Log, s *held.State, digest string) {
+func (l *mapLog) observe(log *eventlog.Log, s *held.State, content mapDigest) {
 	l.mu.Lock()
 	newer := s.Epoch > l.epoch || s.Epoch == l.epoch && s.Step >= l.step
 	changed := newer && (s.Epoch != l.epoch || s.Current != l.current)
@@ -35,23 +34,32 @@
 	l.mu.Unlock()
 	if changed {
 		log.Info("map in force", slog.Int64("map", int64(s.Current)), slog.Int64("former", int64(former)), slog.Int64("epoch", int64(s.Epoch)),
-			slog.Uint64("step", uint64(s.Step)), slog.String("digest", digest))
+			slog.Uint64("step", uint64(s.Step)), slog.String("digest", content.String()))
 	}
 }
 
-// digest identifies a map's content: which experts each rank holds, in whatever order.
-func digest(p *planner.Placement) string {
+// digest identifies a map by the experts in all slots.
+func digest(p *planner.Placement) mapDigest {
 	hash := fnv.New64a()
 	var number [4]byte
 	for l := range p.Shape.Layers {
 		for r := range p.Shape.Ranks {
-			experts := slices.Clone(p.Experts(graniteknot.Layer(l), graniteknot.Rank(r)))
-			slices.Sort(experts)
-			for _, e := range experts {
+			for _, e := range p.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
 				binary.BigEndian.PutUint32(number[:], uint32(e))
 				_, _ = hash.Write(number[:])
 			}
 		}
 	}
-	return strconv.FormatUint(hash.Sum64(), 16)
+	return mapDigest(hash.Sum64())
+}
+
+// mapDigest identifies the content of a map; 0 is unknown.
+type mapDigest uint64
+
+// String returns the digest as it is logged.
+func (d mapDigest) String() string {
+	if d == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(d), 16)
 }
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -90,6 +90,7 @@
 	r := commandToWire(c)
 	if c.Base != nil {
 		r.Base, r.Moves = int64(c.BaseVersion), diffMoves(c.Base, c.Placement)
+		r.Digest = uint64(digest(c.Placement))
 		if c.BaseVersion == 0 {
 			s := c.Placement.Shape
 			r.Sets, r.Experts, r.Ranks, r.Places = int32(s.Layers), int32(s.Experts), int32(s.Ranks), int32(s.Slots)
--- a/internal/core/ranks/orders.go
+++ b/internal/core/ranks/orders.go
@@ -57,7 +57,9 @@
 	command := &held.Command{Order: *order, Fence: c.Fence}
 	if order.Kind == held.KindPrepare {
 		command.Placement = c.pending
-		command.Base, command.BaseVersion = c.placement, c.mapping
+		if c.slotsKnown {
+			command.Base, command.BaseVersion = c.placement, c.mapping
+		}
 	}
 	return command
 }
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -25,15 +25,15 @@
 	}
 	switch {
 	case c.placement != nil && states[0].Epoch == c.epoch && newest == c.desired.NewVersion && c.pending != nil:
-		c.placement = c.pending
+		c.placement, c.slotsKnown = c.pending, true
 		c.Meter.Count("graniteknot_map_switches_total")
 	case newest == 0:
-		c.placement = planner.NewRoundRobin(c.Planner.Shape)
+		c.placement, c.slotsKnown = planner.NewRoundRobin(c.Planner.Shape), true
 	case !allListed(snapshots):
 		c.placement, c.pending, c.desired.NewVersion = nil, nil, 0
 		return false
 	default:
-		c.placement = c.placementFromLists(snapshots)
+		c.placement, c.slotsKnown = c.placementFromLists(snapshots), false
 	}
 	if states[0].Epoch != c.epoch {
 		c.desired.ReleasedStep = held.NoStep
--- a/internal/core/ranks/recent_maps.go
+++ b/internal/core/ranks/recent_maps.go
@@ -23,7 +23,7 @@
 	version   held.Version
 	placement *planner.Placement
 	// digest identifies the placement.
-	digest string
+	digest mapDigest
 }
 
 // add stores a map.
@@ -37,8 +37,8 @@
 	}
 }
 
-// digest returns the digest of a stored map; empty if it is unknown.
-func (m *recentMaps) digest(e held.Epoch, v held.Version) string {
+// digest returns the digest of a stored map; 0 if it is unknown.
+func (m *recentMaps) digest(e held.Epoch, v held.Version) mapDigest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, known := range m.entries {
@@ -46,7 +46,7 @@
 			return known.digest
 		}
 	}
-	return ""
+	return 0
 }
 
 // withMoves returns a stored map with moves applied; false when it is unknown or the moves
