presence: replies are matched by their sender and by the life of the asker

Cause: a reply was taken for the answer to a query if it had the query's number, which began at 1 in each process and was not tied to who was asked. A sidecar that starts again at its address may take a late reply to its former life for one to its own query, an order among them. Evidence: both tests failed before: the next process's query was answered "to the former process", and one by a process that was not asked. Why this works: numbers begin at a random one of 32 bits with each process, and a reply counts only from the address that was asked; others are logged. Result: tests of presence pass; a query and its reply grow by up to four bytes each (the encoding of the number).

--- a/internal/core/presence/query.go
+++ b/internal/core/presence/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 
@@ -36,6 +37,8 @@
 // ErrTooLarge is returned for a query or a reply that does not fit into a datagram.
 var ErrTooLarge = errors.New("too large for a datagram")
 
+var errAddress = errors.New("malformed address")
+
 // tooLargeError is how a reply reports ErrTooLarge.
 const tooLargeError = "too large"
 
@@ -43,19 +46,27 @@
 type pendingQueries struct {
 	mu      sync.Mutex
 	lastID  uint64
-	waiters map[uint64]chan *Reply
+	waiters map[uint64]queryWaiter
+}
+
+// queryWaiter waits for the reply of the process at an address.
+type queryWaiter struct {
+	from  netip.AddrPort
+	reply chan *Reply
 }
 
-// add returns the ID of a new query and the channel on which its reply arrives.
-func (p *pendingQueries) add() (uint64, chan *Reply) {
+// add returns the ID of a new query and the channel on which its reply arrives. IDs begin at a random
+// number, or replies to a former process at this address would match the queries of this one.
+func (p *pendingQueries) add(to netip.AddrPort) (uint64, chan *Reply) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.waiters == nil {
-		p.waiters = map[uint64]chan *Reply{}
+		p.waiters = map[uint64]queryWaiter{}
+		p.lastID = uint64(rand.Uint32())
 	}
 	p.lastID++
 	reply := make(chan *Reply, 1)
-	p.waiters[p.lastID] = reply
+	p.waiters[p.lastID] = queryWaiter{from: to, reply: reply}
 	return p.lastID, reply
 }
 
@@ -65,15 +76,26 @@
 	delete(p.waiters, id)
 }
 
-// deliver hands a reply to the query that waits for it. Duplicates and replies to unknown
-// queries are dropped.
-func (p *pendingQueries) deliver(reply *Reply) {
+// deliver hands a reply to the query that waits for it, and reports false if that was sent to another
+// process. Duplicates and replies to unknown queries are dropped.
+func (p *pendingQueries) deliver(reply *Reply, from netip.AddrPort) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if waiter := p.waiters[reply.ID]; waiter != nil {
-		delete(p.waiters, reply.ID)
-		waiter <- reply
+	waiter, waiting := p.waiters[reply.ID]
+	if !waiting {
+		return true
+	}
+	if !sameAddress(waiter.from, from) {
+		return false
 	}
+	delete(p.waiters, reply.ID)
+	waiter.reply <- reply
+	return true
+}
+
+// sameAddress compares addresses, of which one may be an IPv4 address in IPv6 form.
+func sameAddress(a, b netip.AddrPort) bool {
+	return a.Port() == b.Port() && a.Addr().Unmap() == b.Addr().Unmap()
 }
 
 // Ask sends a query to the process at an address and waits for the reply or until ctx is
@@ -82,9 +104,13 @@
 	if len(body) > MaxBodyBytes {
 		return nil, ErrTooLarge
 	}
-	id, waiter := s.pending.add()
+	address, ok := s.parse(to)
+	if !ok {
+		return nil, fmt.Errorf("query %s: %w", to, errAddress)
+	}
+	id, waiter := s.pending.add(address)
 	defer s.pending.remove(id)
-	s.Send(Message{Query: &Query{ID: id, Kind: kind, Body: body}}, []graniteknot.Address{to})
+	s.sendTo(Message{Query: &Query{ID: id, Kind: kind, Body: body}}, address)
 	select {
 	case <-ctx.Done():
 		return nil, fmt.Errorf("query %s: %w", to, ctx.Err())
--- a/internal/core/presence/socket.go
+++ b/internal/core/presence/socket.go
@@ -71,7 +71,9 @@
 		case m.Query != nil:
 			s.handleQuery(m.Query, from)
 		case m.Reply != nil:
-			s.pending.deliver(m.Reply)
+			if !s.pending.deliver(m.Reply, from) {
+				s.malformed.Warn(log, "reply of another process", from.Addr().String(), "its query was sent to another address")
+			}
 		default:
 			handle(m)
 		}
