ranks: a new coordinator decides only on what it read under its fence

What callers saw: a step of a lock-step group may have run with two maps (rule MAP), after a coordinator had replaced another one. Cause: a new coordinator reads all ranks, has them accept its fencing token, and then decided on whatever it knew, which may have been read before. In between a late order of the former one may be carried out; a release of the held step makes the new one arm for a step that is no longer held, one rank after the other. The answer to the token even dated the former report as new. Why this works: under the token no other coordinator's order is carried out. Reports count from the first look on that began after the last rank accepted the token, also for a coordinator that goes on without the former one's rank.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -71,6 +71,9 @@
 	roundBits = 32
 )
 
+// noRank stands for no rank.
+const noRank graniteknot.Rank = -1
+
 // Config configures a Coordinator.
 type Config struct {
 	// Clock measures the age of what is known about ranks.
@@ -240,8 +243,7 @@
 	for i := range snapshots {
 		states[i] = snapshots[i].state
 	}
-	if orders := c.fenceOrders(states); len(orders) > 0 {
-		c.sendOrders(ctx, orders, now)
+	if !c.fenced(ctx, states, now) {
 		return fastInterval, 0
 	}
 	c.updatePaces(snapshots)
--- a/internal/core/ranks/fixture_test.go
+++ b/internal/core/ranks/fixture_test.go
@@ -113,15 +113,19 @@
 
 // coordinatorAfter returns a coordinator that knows the previous one's rank.
 func (f *fixture) coordinatorAfter(fence graniteknot.Position, own, former graniteknot.Rank) *ranks.Coordinator {
-	s := f.group.Shape
 	var members []*ranks.Member
 	for r := range f.executors {
 		members = append(members, ranks.NewMember(graniteknot.Rank(r), f.sidecar(r), sidecarAddress(r), f.rank(graniteknot.Rank(r))))
 	}
+	return f.coordinatorOf(members, fence, own, former)
+}
+
+// coordinatorOf returns a coordinator of the given members.
+func (f *fixture) coordinatorOf(members []*ranks.Member, fence graniteknot.Position, own, former graniteknot.Rank) *ranks.Coordinator {
 	return ranks.NewCoordinator(ranks.Config{
 		Fence: fence, OwnRank: own, FormerRank: former, Members: members,
 		Engine:  &catalog.Engine{Experts: f.experts()},
-		Planner: &planner.Planner{Shape: s, MinMoveGain: 0.02, Smoothing: 1},
+		Planner: &planner.Planner{Shape: f.group.Shape, MinMoveGain: 0.02, Smoothing: 1},
 	})
 }
 
--- a/internal/core/ranks/map_content_test.go
+++ b/internal/core/ranks/map_content_test.go
@@ -23,23 +23,27 @@
 	}
 }
 
-// bringIntoForce switches the group to a map, which is sent as a whole.
-func (f *fixture) bringIntoForce(t *testing.T, p *planner.Placement, v held.Version) {
-	t.Helper()
-	const fence, epoch = 1, 1
-	prepare := &wire.GiveRequest{Fence: fence, Epoch: epoch, Kind: int32(held.KindPrepare), Version: int64(v), Ranks: int32(p.Shape.Ranks), Places: int32(p.Shape.Slots)}
+// prepareRequest returns an order to prepare a map, which it holds as a whole.
+func prepareRequest(p *planner.Placement, v held.Version) *wire.GiveRequest {
+	out := &wire.GiveRequest{Fence: 1, Epoch: 1, Kind: int32(held.KindPrepare), Version: int64(v), Ranks: int32(p.Shape.Ranks), Places: int32(p.Shape.Slots)}
 	for l := range p.Shape.Layers {
 		for r := range p.Shape.Ranks {
 			for _, e := range p.Experts(graniteknot.Layer(l), graniteknot.Rank(r)) {
-				prepare.Placement = append(prepare.Placement, int32(e))
+				out.Placement = append(out.Placement, int32(e))
 			}
 		}
 	}
-	f.giveAll(t, prepare)
+	return out
+}
+
+// bringIntoForce switches the group to a map, which is sent as a whole.
+func (f *fixture) bringIntoForce(t *testing.T, p *planner.Placement, v held.Version) {
+	t.Helper()
+	f.giveAll(t, prepareRequest(p, v))
 	time.Sleep(time.Second)
-	step := uint64(f.group.Show().Step) + 1
-	f.giveAll(t, &wire.GiveRequest{Fence: fence, Epoch: epoch, Kind: int32(held.KindArm), Version: int64(v), Step: step})
-	time.Sleep(2 * passTime)
+	step := uint64(f.group.Show().Step) + 3
+	f.giveAll(t, &wire.GiveRequest{Fence: 1, Epoch: 1, Kind: int32(held.KindArm), Version: int64(v), Step: step})
+	time.Sleep(6 * passTime)
 	if shown := f.checkMapsAgree(t); shown.Mappings[0] != v {
 		t.Fatalf("map %d is in force, want %d", shown.Mappings[0], v)
 	}
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -52,8 +52,8 @@
 	heardAt time.Time
 	// inFlight counts the calls in flight by content.
 	inFlight map[callKey]inFlightCalls
-	// fenceAccepted reports that the rank answered an order of this coordinator.
-	fenceAccepted bool
+	// fenceAcceptedAt is when the rank first answered an order of this coordinator; zero before.
+	fenceAcceptedAt time.Time
 	// foreignFence is the highest fencing token reported for another coordinator.
 	foreignFence graniteknot.Position
 }
@@ -211,12 +211,20 @@
 	return m.known.snapshot(), m.known.began
 }
 
-// acceptsFence reports whether the rank has accepted this coordinator's fencing token and so
-// refuses orders of former ones.
-func (m *Member) acceptsFence() bool {
+// fenceAccepted returns since when the rank is known to have accepted this coordinator's fencing
+// token and so refuses orders of former ones; a zero time if it is not.
+func (m *Member) fenceAccepted() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.fenceAccepted
+	return m.fenceAcceptedAt
+}
+
+// acceptFence records that the rank answered an order of this coordinator; called with the lock
+// held.
+func (m *Member) acceptFence() {
+	if m.fenceAcceptedAt.IsZero() {
+		m.fenceAcceptedAt = m.clock.Now()
+	}
 }
 
 // otherFence returns the highest fencing token reported for another coordinator.
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -77,9 +77,9 @@
 	case held.ResultFenced:
 		m.foreignFence = max(m.foreignFence, c.Fence+1)
 	case held.ResultConflict:
-		m.fenceAccepted = true
+		m.acceptFence()
 	case held.ResultDone:
-		m.fenceAccepted = true
+		m.acceptFence()
 		m.known.addOrder(&c.Order, m.clock.Now())
 	case held.ResultUnknown:
 	}
--- a/internal/core/ranks/snapshots.go
+++ b/internal/core/ranks/snapshots.go
@@ -79,7 +79,7 @@
 			c.enterPhase(held.PhaseUnavailable)
 			return incompleteInterval
 		}
-		if !m.acceptsFence() {
+		if m.fenceAccepted().IsZero() {
 			orders = append(orders, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(i), Step: held.NoStep, Epoch: last.state.Epoch})
 		}
 	}
@@ -91,6 +91,9 @@
 		c.sendOrders(ctx, orders, now)
 		return fastInterval
 	}
+	if !c.readUnderFence(c.FormerRank) {
+		return fastInterval
+	}
 	decision := held.DecideWithMissingRank(states, c.FormerRank, c.desired)
 	c.desired.ReleasedStep = max(c.desired.ReleasedStep, decision.ReleasedStep)
 	c.enterPhase(decision.Phase)
@@ -99,14 +102,37 @@
 	return incompleteInterval
 }
 
-// fenceOrders returns an order for each rank that has not yet accepted the coordinator's
-// fencing token.
-func (c *Coordinator) fenceOrders(states []held.State) []held.Order {
-	var out []held.Order
+// fenced reports whether the states were read after all ranks had accepted the fencing token. It sends
+// the token to those that have not.
+func (c *Coordinator) fenced(ctx context.Context, states []held.State, now time.Time) bool {
+	var orders []held.Order
+	for r, m := range c.Members {
+		if m.fenceAccepted().IsZero() {
+			orders = append(orders, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(r), Step: held.NoStep, Epoch: states[r].Epoch})
+		}
+	}
+	if len(orders) > 0 {
+		c.sendOrders(ctx, orders, now)
+		return false
+	}
+	return c.readUnderFence(noRank)
+}
+
+// readUnderFence reports whether all ranks but one were read after all of them had accepted the fencing
+// token. Until then an order of a former coordinator may still have changed what was read. A negative
+// rank excepts none.
+func (c *Coordinator) readUnderFence(except graniteknot.Rank) bool {
+	var accepted, oldest time.Time
 	for r, m := range c.Members {
-		if !m.acceptsFence() {
-			out = append(out, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(r), Step: held.NoStep, Epoch: states[r].Epoch})
+		if graniteknot.Rank(r) == except {
+			continue
+		}
+		if at := m.fenceAccepted(); at.After(accepted) {
+			accepted = at
+		}
+		if _, at := m.lastSnapshot(); oldest.IsZero() || at.Before(oldest) {
+			oldest = at
 		}
 	}
-	return out
+	return oldest.After(accepted)
 }
