ranks: a held step is not released past a rank that an earlier coordinator armed

What callers saw: a step of a lock-step group may have run with two maps (rule MAP), after two coordinators had stopped shortly after one another. Cause: a coordinator goes on without the former one's rank because that rank is armed last. That holds for arms of the former coordinator alone. One before it arms all ranks but its own at once; if only the former coordinator's rank was armed then, and both stop, the next one took it for not armed and released the step. Why this works: a coordinator tells the sidecars once it has seen, under its own fence, that no rank is armed; from then on all arms are its own. The next one asks them, with the lists that it reads anyway, and goes on without the rank only if the last coordinator of which any of them heard was on that box and had said so.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -146,6 +146,8 @@
 	loggedRelease held.Order
 	// countsReady signals new counts from the aggregator.
 	countsReady chan struct{}
+	// unarmed reports that all ranks were seen with nothing armed.
+	unarmed bool
 	// rounds counts the rounds.
 	rounds uint64
 	// phase is that of the last decision, entered at phaseSince.
@@ -246,6 +248,7 @@
 	if !c.fenced(ctx, states, now) {
 		return fastInterval, 0
 	}
+	c.unarmed = c.unarmed || noneArmed(states)
 	c.updatePaces(snapshots)
 	mapKnown := c.updatePlacement(snapshots, states)
 	if readCounts {
@@ -284,7 +287,7 @@
 func (c *Coordinator) lookRequest(counts bool) *wire.LookRequest {
 	f := c.currentForecast()
 	return &wire.LookRequest{
-		Fence: int64(c.Fence), OwnRank: int32(c.OwnRank) + 1, Counts: counts, Lists: c.placement == nil,
+		Fence: int64(c.Fence), OwnRank: int32(c.OwnRank) + 1, Counts: counts, Lists: c.placement == nil, Unarmed: c.unarmed,
 		Skew: float32(f.Skew), Loading: f.Loading, Forecast: f.Sequence,
 	}
 }
--- a/internal/core/ranks/executor.go
+++ b/internal/core/ranks/executor.go
@@ -45,12 +45,10 @@
 	countHistory countHistory
 
 	mu sync.Mutex
-	// fence is the highest fencing token received, last seen at fenceHeardAt.
-	fence        graniteknot.Position
-	fenceHeardAt time.Time
-	// coordinator is the rank on the last known coordinator's box, if coordinatorKnown.
-	coordinator      graniteknot.Rank
-	coordinatorKnown bool
+	// coordinator has the highest fencing token received, last seen at fenceHeardAt; former is the
+	// one before.
+	coordinator, former coordinatorRecord
+	fenceHeardAt        time.Time
 	// forecast is the newest one received from a coordinator, at forecastAt.
 	forecast   Forecast
 	forecastAt time.Time
@@ -61,7 +59,7 @@
 func (e *Executor) CoordinatorRank() (graniteknot.Rank, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.coordinator, e.coordinatorKnown
+	return e.coordinator.rank, e.coordinator.rankKnown
 }
 
 // Forecast returns the newest forecast from a coordinator and when it was received.
@@ -71,11 +69,13 @@
 	return e.forecast, e.forecastAt
 }
 
-// recordCoordinator stores a coordinator's rank, and its forecast if it is newer.
-func (e *Executor) recordCoordinator(r graniteknot.Rank, f Forecast) {
+// recordCoordinator stores a coordinator's rank, whether it saw that nothing was armed, and its
+// forecast if it is newer.
+func (e *Executor) recordCoordinator(r graniteknot.Rank, unarmed bool, f Forecast) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.coordinator, e.coordinatorKnown = r, true
+	e.coordinator.rank, e.coordinator.rankKnown = r, true
+	e.coordinator.unarmed = e.coordinator.unarmed || unarmed
 	if f.Sequence > e.forecast.Sequence {
 		e.forecast, e.forecastAt = f, e.Clock.Now()
 	}
@@ -85,7 +85,7 @@
 func (e *Executor) Fence() (graniteknot.Position, time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fence, e.fenceHeardAt
+	return e.coordinator.fence, e.fenceHeardAt
 }
 
 // admitFence accepts a coordinator's fencing token and returns 0, or returns the known one
@@ -93,13 +93,15 @@
 func (e *Executor) admitFence(fence graniteknot.Position) (higher graniteknot.Position) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if fence < e.fence {
-		return e.fence
+	if fence < e.coordinator.fence {
+		return e.coordinator.fence
 	}
-	if fence > e.fence {
-		e.Log.Info("keeper", slog.Int64("fence", int64(fence)), slog.Int64("former", int64(e.fence)))
+	if fence > e.coordinator.fence {
+		e.Log.Info("keeper", slog.Int64("fence", int64(fence)), slog.Int64("former", int64(e.coordinator.fence)))
+		e.former = e.coordinator
+		e.coordinator = coordinatorRecord{fence: fence, rank: e.former.rank, rankKnown: e.former.rankKnown}
 	}
-	e.fence, e.fenceHeardAt = fence, e.Clock.Now()
+	e.fenceHeardAt = e.Clock.Now()
 	return 0
 }
 
@@ -115,7 +117,7 @@
 			return &wire.LookReply{Fenced: int64(higher)}, nil
 		}
 		if own := r.GetOwnRank(); own > 0 {
-			e.recordCoordinator(graniteknot.Rank(own-1), Forecast{Skew: float64(r.GetSkew()), Loading: r.GetLoading(), Sequence: r.GetForecast()})
+			e.recordCoordinator(graniteknot.Rank(own-1), r.GetUnarmed(), Forecast{Skew: float64(r.GetSkew()), Loading: r.GetLoading(), Sequence: r.GetForecast()})
 		}
 	}
 	report, err := e.Rank.Report(ctx)
@@ -142,6 +144,7 @@
 			return nil, err
 		}
 		reply.Lists = listsToWire(lists)
+		e.tellFormer(reply)
 	}
 	return reply, nil
 }
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -56,6 +56,8 @@
 	fenceAcceptedAt time.Time
 	// foreignFence is the highest fencing token reported for another coordinator.
 	foreignFence graniteknot.Position
+	// former is the coordinator before this one, as the sidecar knows it.
+	former coordinatorRecord
 }
 
 // callKey identifies calls with the same content: a look or an order.
@@ -192,6 +194,7 @@
 	m.foreignFence = max(m.foreignFence, graniteknot.Position(reply.GetFenced()))
 	m.mu.Unlock()
 	if reply.GetFenced() == 0 {
+		m.recordFormer(formerFromWire(reply))
 		m.addReport(snapshot{state: stateFromWire(reply.GetState()), counts: reply.GetCounts(), lists: listsFromWire(reply.GetLists()), pace: reply.GetPace(), source: sourceSidecar}, began)
 	}
 }
--- a/internal/core/ranks/snapshots.go
+++ b/internal/core/ranks/snapshots.go
@@ -83,7 +83,7 @@
 			orders = append(orders, held.Order{Kind: held.KindRelease, Rank: graniteknot.Rank(i), Step: held.NoStep, Epoch: last.state.Epoch})
 		}
 	}
-	if c.FormerRank == c.OwnRank {
+	if c.FormerRank == c.OwnRank || !c.formerRankLast() {
 		c.enterPhase(held.PhaseUnavailable)
 		return incompleteInterval
 	}
