ranks: reports that can't be true are left out

What operators saw: nothing reported. Cause: reports were taken as they came. Change: a step that goes back between two reads that did not overlap, and a list of another shape, are left out with one line (rank report left out, rank map left out); the group keeps its map. Lists are kept only while the map that they belong to is in force. graniteknot_rank_states_dropped_total counts what was older or invalid.

--- a/internal/core/ranks/coordinator.go
+++ b/internal/core/ranks/coordinator.go
@@ -146,6 +146,8 @@
 	loggedRelease held.Order
 	// countsReady signals new counts from the aggregator.
 	countsReady chan struct{}
+	// invalidLists logs ranks whose maps are left out.
+	invalidLists eventlog.Sparse
 	// unarmed reports that all ranks were seen with nothing armed.
 	unarmed bool
 	// rounds counts the rounds.
@@ -163,7 +165,7 @@
 		window: newCountWindow(config.Planner.Shape, expertLoadTime(config.Engine.Experts)), countsReady: make(chan struct{}, 1),
 	}
 	for _, m := range config.Members {
-		m.clock = config.Clock
+		m.clock, m.log, m.meter = config.Clock, config.Log, config.Meter
 	}
 	c.subtrees = newSubtrees(config.Members, config.OwnRank)
 	shape := config.Planner.Shape
--- a/internal/core/ranks/knowledge.go
+++ b/internal/core/ranks/knowledge.go
@@ -15,30 +15,45 @@
 	began, ended time.Time
 	// arm, hold and release are the answered orders for the latest steps.
 	arm, hold, release answeredOrder
-	// older counts the reports and answers that were dropped as older than what was known.
-	older int
 }
 
+// verdict is what became of a report or an answer.
+type verdict uint8
+
+const (
+	// verdictKept reports and answers are the newest.
+	verdictKept verdict = iota
+	// verdictOlder ones are older than what is known.
+	verdictOlder
+	// verdictInvalid reports can't follow the one before: the step goes back.
+	verdictInvalid
+)
+
 // answeredOrder is an order that was carried out at some time before the answer arrived.
 type answeredOrder struct {
 	held.Order
 	answered time.Time
 }
 
-// addReport stores a report unless a newer one is known. Of two that were read at the same time, the
-// one that shows the later step is newer.
-func (k *knowledge) addReport(s snapshot, began, ended time.Time) {
-	if began.Before(k.ended) && (isOlder(&s.state, &k.report.state) || sameStep(&s.state, &k.report.state) && began.Before(k.began)) {
-		k.older++
-		return
+// addReport stores a report unless a newer one is known. Of two whose reads overlapped, the one that
+// shows the later step is newer.
+func (k *knowledge) addReport(s snapshot, began, ended time.Time) verdict {
+	last := &k.report.state
+	overlapped := began.Before(k.ended)
+	if overlapped && (isOlder(&s.state, last) || sameStep(&s.state, last) && began.Before(k.began)) {
+		return verdictOlder
 	}
-	if s.lists == nil {
+	if s.state.Epoch == last.Epoch && s.state.Step < last.Step {
+		return verdictInvalid
+	}
+	if s.lists == nil && s.state.Epoch == last.Epoch && s.state.Current == last.Current {
 		s.lists = k.report.lists
 	}
 	if s.counts == nil {
 		s.counts = k.report.counts
 	}
 	k.report, k.began, k.ended = s, began, ended
+	return verdictKept
 }
 
 // isOlder reports whether one state of a rank precedes another one by what it shows.
@@ -49,19 +64,17 @@
 func sameStep(a, b *held.State) bool { return a.Epoch == b.Epoch && a.Step == b.Step }
 
 // addOrder stores an order that the rank carried out, unless one for a later step is known.
-func (k *knowledge) addOrder(o *held.Order, now time.Time) {
+func (k *knowledge) addOrder(o *held.Order, now time.Time) verdict {
 	last := k.lastOrder(o.Kind)
 	if last == nil {
-		return
-	}
-	if o.Epoch < last.Epoch || o.Epoch == last.Epoch && o.Step < last.Step {
-		k.older++
-		return
+		return verdictKept
 	}
-	if o.Epoch == last.Epoch && o.Step == last.Step && !last.answered.IsZero() {
-		return
+	s := &k.report.state
+	if o.Epoch < last.Epoch || o.Epoch == last.Epoch && o.Step <= last.Step || o.Epoch == s.Epoch && o.Step <= s.Step {
+		return verdictOlder
 	}
 	*last = answeredOrder{*o, now}
+	return verdictKept
 }
 
 // lastOrder returns where the last order of a kind is stored; nil for kinds that are not.
--- a/internal/core/ranks/member.go
+++ b/internal/core/ranks/member.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/expertmap/held"
+	"graniteknot.org/go/internal/core/eventlog"
+	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/group"
 	"graniteknot.org/go/internal/wire"
 )
@@ -32,8 +36,12 @@
 // slow rank delays only what needs its answer.
 type Member struct {
 	rank graniteknot.Rank
-	// clock is the coordinator's.
+	// clock, log and meter are the coordinator's.
 	clock graniteknot.AgeClock
+	log   *eventlog.Log
+	meter *meter.Meter
+	// invalid logs reports that are left out.
+	invalid eventlog.Sparse
 	// client calls the sidecar.
 	client wire.Ranks
 	// address is where other sidecars reach this one; empty if they can't.
@@ -172,9 +180,7 @@
 			return
 		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.known.addReport(s, began.Add(-directReportLag), ended)
+	m.addReport(s, began.Add(-directReportLag), ended)
 }
 
 // ping checks whether a silent sidecar answers again.
@@ -195,15 +201,31 @@
 	m.mu.Unlock()
 	if reply.GetFenced() == 0 {
 		m.recordFormer(formerFromWire(reply))
-		m.addReport(snapshot{state: stateFromWire(reply.GetState()), counts: reply.GetCounts(), lists: listsFromWire(reply.GetLists()), pace: reply.GetPace(), source: sourceSidecar}, began)
+		m.addReport(snapshot{state: stateFromWire(reply.GetState()), counts: reply.GetCounts(), lists: listsFromWire(reply.GetLists()), pace: reply.GetPace(), source: sourceSidecar}, began, m.clock.Now())
 	}
 }
 
-// addReport stores a report of which the call began at a time.
-func (m *Member) addReport(s snapshot, began time.Time) {
+// addReport stores a report that was read between two times, if it is newer than what is known.
+func (m *Member) addReport(s snapshot, began, ended time.Time) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.known.addReport(s, began, m.clock.Now())
+	v, before := m.known.addReport(s, began, ended), m.known.report.state.Step
+	m.mu.Unlock()
+	m.countVerdict(v)
+	if v == verdictInvalid {
+		m.invalid.Warn(m.log, "rank report left out", strconv.Itoa(int(m.rank)), "the step goes back", slog.Uint64("step", uint64(s.state.Step)),
+			slog.Uint64("before", uint64(before)), slog.Int64("epoch", int64(s.state.Epoch)))
+	}
+}
+
+// countVerdict counts what is dropped.
+func (m *Member) countVerdict(v verdict) {
+	switch v {
+	case verdictOlder:
+		m.meter.Count("graniteknot_rank_states_dropped_total", meter.Label{Name: "reason", Value: "older"})
+	case verdictInvalid:
+		m.meter.Count("graniteknot_rank_states_dropped_total", meter.Label{Name: "reason", Value: "invalid"})
+	case verdictKept:
+	}
 }
 
 // lastSnapshot returns what is known of the rank and when the look that it rests on began; a zero
--- a/internal/core/ranks/member_order.go
+++ b/internal/core/ranks/member_order.go
@@ -80,7 +80,7 @@
 		m.acceptFence()
 	case held.ResultDone:
 		m.acceptFence()
-		m.known.addOrder(&c.Order, m.clock.Now())
+		m.countVerdict(m.known.addOrder(&c.Order, m.clock.Now()))
 	case held.ResultUnknown:
 	}
 }
--- a/internal/core/ranks/plan.go
+++ b/internal/core/ranks/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -29,7 +30,7 @@
 		c.Meter.Count("graniteknot_map_switches_total")
 	case newest == 0:
 		c.placement, c.slotsKnown = planner.NewRoundRobin(c.Planner.Shape), true
-	case !allListed(snapshots):
+	case !c.allListed(snapshots):
 		c.placement, c.pending, c.desired.NewVersion = nil, nil, 0
 		return false
 	default:
@@ -54,12 +55,34 @@
 	}
 }
 
-// allListed reports whether every rank has reported its experts.
-func allListed(snapshots []snapshot) bool {
+// allListed reports whether every rank has reported its experts, in the shape of the group's maps.
+func (c *Coordinator) allListed(snapshots []snapshot) bool {
 	for i := range snapshots {
 		if len(snapshots[i].lists) == 0 {
 			return false
 		}
+		if !fits(snapshots[i].lists, c.Planner.Shape) {
+			c.invalidLists.Warn(c.Log, "rank map left out", strconv.Itoa(i), "another shape than that of the configuration")
+			return false
+		}
+	}
+	return true
+}
+
+// fits reports whether a rank's experts are those of a map of a shape.
+func fits(lists [][]graniteknot.Expert, s planner.Shape) bool {
+	if len(lists) != s.Layers {
+		return false
+	}
+	for _, experts := range lists {
+		if len(experts) > s.Slots {
+			return false
+		}
+		for _, e := range experts {
+			if e < 0 || int(e) >= s.Experts {
+				return false
+			}
+		}
 	}
 	return true
 }
