held: the exhaustive search has late answers and old reads

Cause: in the search an answer came back at once or never, and each round read every rank anew, so that what the incident of two maps in one step needed could not happen there. Change: keepers learn of carried out orders at any later time, in any order, and decide on reads of former rounds. A rule more is taken out: that an answer changes nothing that a later read showed.

--- a/expertmap/held/keeper_model_test.go
+++ b/expertmap/held/keeper_model_test.go
@@ -30,7 +30,12 @@
 	if int(keeper.fenced) < searchRanks && !u.noFence {
 		return append(out, w.fenceNext(k))
 	}
-	if int(keeper.reading) < searchRanks {
+	if r := int(keeper.reading); r < searchRanks {
+		if w.span.late && keeper.seen[r].Epoch != 0 {
+			unread := w
+			unread.keepers[k].reading++
+			out = append(out, unread)
+		}
 		return append(out, w.readNext(k))
 	}
 	return append(out, w.act(k, u))
@@ -100,7 +105,11 @@
 	if !u.noFreed {
 		wish.ReleasedStep = keeper.freed
 	}
-	d := held.Decide(keeper.seen[:], wish)
+	known := keeper.seen
+	for r := range known {
+		known[r] = keeper.known(r, u)
+	}
+	d := held.Decide(known[:], wish)
 	keeper.freed = max(keeper.freed, d.ReleasedStep)
 	if keeper.wish != 0 && keeper.seen[0].Current >= keeper.wish && keeper.seen[1].Current >= keeper.wish {
 		keeper.wish = 0
@@ -125,8 +134,9 @@
 	for _, o := range orders {
 		w.send(k, o)
 	}
-	keeper = &w.keepers[k]
-	keeper.seen = [searchRanks]held.State{}
+	if !w.span.late {
+		w.keepers[k].seen = [searchRanks]held.State{}
+	}
 	return w
 }
 
@@ -163,7 +173,7 @@
 	}
 	x := orderModel{order: o, fence: keeper.fence}
 	for i := range w.sent {
-		if w.orders[i] == x {
+		if w.orders[i].order == x.order && w.orders[i].fence == x.fence {
 			return
 		}
 	}
--- a/expertmap/held/model_test.go
+++ b/expertmap/held/model_test.go
@@ -19,6 +19,8 @@
 	keepers, breaks, maps uint8
 	// missing lets the second keeper go on without the first one's rank.
 	missing bool
+	// late lets keepers learn of carried out orders at any later time and decide on old reads.
+	late bool
 }
 
 // rules are those that a search may take out.
@@ -37,6 +39,9 @@
 	noFreed bool
 	// noArmed lets the keeper go on without a rank after it has sent arms.
 	noArmed bool
+	// oldAnswers lets an answer change what a later read showed, and takes what contradicts it
+	// for armed.
+	oldAnswers bool
 }
 
 // rankModel is one rank as the platform's pages describe it.
@@ -64,13 +69,20 @@
 	without bool
 	// maps counts the maps that the keeper brought.
 	maps uint8
+	// answered are the orders that the keeper learned to be carried out.
+	answered [searchRanks]answersModel
 }
 
+// answersModel holds the last answered order of each kind at a rank.
+type answersModel struct{ arm, hold, release held.Order }
+
 // orderModel is an order that was sent; it may be carried out at any time and
 // any number of times.
 type orderModel struct {
 	order held.Order
 	fence uint8
+	// done tells that it was carried out.
+	done bool
 }
 
 // world is one state of the search; it is comparable.
@@ -110,12 +122,11 @@
 		out = append(out, p)
 	}
 	for i := range w.sent {
-		for r := range w.ranks {
-			if int(w.orders[i].order.Rank) == r {
-				if n, changed := w.carryOut(w.orders[i], u); changed {
-					out = append(out, n)
-				}
-			}
+		if n, changed := w.carryOut(int(i), u); changed {
+			out = append(out, n)
+		}
+		if n, changed := w.answer(int(i)); changed {
+			out = append(out, n)
 		}
 	}
 	for k := range w.keepers {
@@ -158,9 +169,10 @@
 	return w
 }
 
-func (w world) carryOut(o orderModel, u rules) (world, bool) {
+func (w world) carryOut(i int, u rules) (world, bool) {
+	o := &w.orders[i]
 	r := &w.ranks[o.order.Rank]
-	before := *r
+	before, wasDone := *r, o.done
 	if o.fence < r.fence && !u.noFence {
 		return w, false
 	}
@@ -168,28 +180,77 @@
 		return w, false
 	}
 	r.fence = max(r.fence, o.fence)
-	r.obey(o.order)
-	return w, *r != before
+	if r.obey(o.order) && w.span.late {
+		o.done = true
+	}
+	return w, *r != before || o.done != wasDone
 }
 
-func (r *rankModel) obey(o held.Order) {
+// obey carries an order out; false if it does not fit the state.
+func (r *rankModel) obey(o held.Order) bool {
 	s := &r.state
-	switch o.Kind {
-	case held.KindPrepare:
-		if o.Version > r.highest && s.Armed == 0 {
-			r.highest, s.Prepared = o.Version, o.Version
-		}
-	case held.KindHold:
-		if o.Step > s.Step && s.Held == held.NoStep {
-			s.Held = o.Step
-		}
+	switch {
+	case o.Kind == held.KindPrepare && o.Version > r.highest && s.Armed == 0:
+		r.highest, s.Prepared = o.Version, o.Version
+	case o.Kind == held.KindHold && o.Step > s.Step && s.Held == held.NoStep:
+		s.Held = o.Step
+	case o.Kind == held.KindArm && s.Prepared == o.Version && o.Step > s.Step:
+		s.Armed, s.ArmedAt = o.Version, o.Step
+	case o.Kind == held.KindRelease && s.Held == o.Step:
+		s.Held = held.NoStep
+	default:
+		return false
+	}
+	return true
+}
+
+// answer tells the keeper that an order was carried out, at some time after that.
+func (w world) answer(i int) (world, bool) {
+	o := &w.orders[i]
+	keeper := &w.keepers[o.fence-1]
+	if !o.done || !keeper.alive {
+		return w, false
+	}
+	last := keeper.answered[o.order.Rank].last(o.order.Kind)
+	if last == nil || o.order.Epoch < last.Epoch || o.order.Epoch == last.Epoch && o.order.Step <= last.Step {
+		return w, false
+	}
+	*last = o.order
+	return w, true
+}
+
+// last returns the last answered order of a kind; nil for kinds that are not kept.
+func (a *answersModel) last(k held.Kind) *held.Order {
+	switch k {
 	case held.KindArm:
-		if s.Prepared == o.Version && o.Step > s.Step {
-			s.Armed, s.ArmedAt = o.Version, o.Step
-		}
+		return &a.arm
+	case held.KindHold:
+		return &a.hold
 	case held.KindRelease:
-		if s.Held == o.Step {
-			s.Held = held.NoStep
+		return &a.release
+	case held.KindPrepare:
+	}
+	return nil
+}
+
+// known returns what a keeper takes for the state of a rank: its last read with the outcome of the orders that
+// were answered.
+func (k *keeperModel) known(r int, u rules) held.State {
+	s, a := k.seen[r], &k.answered[r]
+	changes := func(o *held.Order) bool {
+		return o.Epoch == s.Epoch && (o.Step > s.Step || u.oldAnswers && o.Step != held.NoStep)
+	}
+	if changes(&a.arm) && s.Armed == 0 {
+		s.Armed, s.ArmedAt = a.arm.Version, a.arm.Step
+		if u.oldAnswers && s.ArmedAt <= s.Step {
+			s.Armed, s.ArmedAt = s.Prepared, s.Step+searchLead
 		}
 	}
+	if changes(&a.hold) && s.Held == held.NoStep {
+		s.Held = a.hold.Step
+	}
+	if changes(&a.release) && s.Held == a.release.Step {
+		s.Held = held.NoStep
+	}
+	return s
 }
--- a/expertmap/held/search_test.go
+++ b/expertmap/held/search_test.go
@@ -40,10 +40,13 @@
 		span  span
 		rules rules
 	}{
-		"two maps":                {span{keepers: 1, maps: 2}, rules{}},
-		"new epoch":               {span{keepers: 1, breaks: 1, maps: 1}, rules{}},
-		"two keepers":             {span{keepers: 2, maps: 1}, rules{}},
-		"a keeper's rank missing": {span{keepers: 2, maps: 1, missing: true}, rules{}},
+		"two maps":                          {span{keepers: 1, maps: 2}, rules{}},
+		"new epoch":                         {span{keepers: 1, breaks: 1, maps: 1}, rules{}},
+		"two keepers":                       {span{keepers: 2, maps: 1}, rules{}},
+		"a keeper's rank missing":           {span{keepers: 2, maps: 1, missing: true}, rules{}},
+		"answers and reads late":            {span{keepers: 1, maps: 1, late: true}, rules{}},
+		"answers and reads late, two maps":  {span{keepers: 1, maps: 2, late: true}, rules{}},
+		"answers and reads late, new epoch": {span{keepers: 1, breaks: 1, maps: 1, late: true}, rules{}},
 		// Safety does not rest on ranks that check fences, also of late orders.
 		"two keepers without fences": {span{keepers: 2, maps: 1}, rules{noFence: true}},
 	}
@@ -70,10 +73,11 @@
 		"seen":  {span{keepers: 1, maps: 1}, rules{noSeen: true}},
 		"epoch": {span{keepers: 1, breaks: 1, maps: 1}, rules{noEpoch: true}},
 		// Only going on without the former keeper's rank rests on fences.
-		"fence":    {span{keepers: 2, maps: 1, missing: true}, rules{noFence: true}},
-		"freed":    {span{keepers: 2, maps: 1, missing: true}, rules{noFreed: true}},
-		"armed":    {span{keepers: 2, maps: 1, missing: true}, rules{noArmed: true}},
-		"own last": {span{keepers: 2, maps: 1, missing: true}, rules{ownFirst: true}},
+		"fence":       {span{keepers: 2, maps: 1, missing: true}, rules{noFence: true}},
+		"freed":       {span{keepers: 2, maps: 1, missing: true}, rules{noFreed: true}},
+		"armed":       {span{keepers: 2, maps: 1, missing: true}, rules{noArmed: true}},
+		"old answers": {span{keepers: 1, maps: 2, late: true}, rules{oldAnswers: true}},
+		"own last":    {span{keepers: 2, maps: 1, missing: true}, rules{ownFirst: true}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
