--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -34,6 +34,37 @@
 		Old: "\tif r.Armed > s.armed {", New: "\tif r.Armed != 0 {\n\t\ts.committed = s.committed || r.Committed\n\t\ts.armed, s.armedAt = r.Armed, r.ArmedAt\n\t}\n\tif false {",
 		Package: "expertmap", Test: "TestSwitchesThatFollowClosely", Says: "ran with maps",
 	},
+	{
+		Name: "contradictory states of ranks are decided on", File: "expertmap/held/decide.go", Old: "case g.contradictory:", New: "case false:",
+		Package: "expertmap/held", Test: "TestContradictoryStatesReleaseNothing",
+	},
+	{
+		Name: "a held step is released while arms are on their way", File: "expertmap/held/decide.go", Old: "case w.ArmStep > g.step:", New: "case false:",
+		Package: "expertmap/held", Test: "TestHeldStepWaitsForArmsOnTheWay",
+	},
+	{
+		Name: "a switch releases later steps too", File: "expertmap/held/decide.go", Old: "s.Held > g.step && s.Held <= last", New: "s.Held > g.step",
+		Package: "expertmap/held", Test: "TestLaterHoldIsNotReleasedBySwitch",
+	},
+	{
+		Name: "a coordinator decides on what it read before its fence", File: "internal/core/ranks/snapshots.go",
+		Old: "return oldest.After(accepted)", New: "return !oldest.IsZero()",
+		Package: "internal/core/ranks", Test: "TestCoordinatorDecidesOnWhatItReadUnderItsFence", Says: "different maps",
+	},
+	{
+		Name: "a coordinator goes on without a rank that an earlier one armed", File: "internal/core/ranks/snapshots.go",
+		Old: "c.FormerRank == c.OwnRank || !c.formerRankLast()", New: "c.FormerRank == c.OwnRank",
+		Package: "internal/core/ranks", Test: "TestRankArmedByAnEarlierCoordinatorIsNotLeftBehind", Says: "different maps",
+	},
+	{
+		Name: "a sidecar prepares a map of another content", File: "internal/core/ranks/executor.go",
+		Old: "!ok || mapDigest(r.GetDigest()) != digest(placement)", New: "!ok",
+		Package: "internal/core/ranks", Test: "TestPrepareByMoves",
+	},
+	{
+		Name: "a reply to a former process answers a query", File: "internal/core/presence/query.go", Old: "p.lastID = uint64(rand.Uint32())", New: "_ = rand.Uint32()",
+		Package: "internal/core/presence", Test: "TestReplyToFormerProcessIsDropped",
+	},
 	{
 		Name: "replicas of evacuated zones get requests", File: "internal/core/fleet/evacuation.go",
 		Old: "return t.ending() || t.evacuated }", New: "return t.ending() }",
