--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -22,8 +22,9 @@
 	stopBound = 8 * time.Second
 )
 
-// process is a gateway process. It is restarted whenever it ends, until close.
+// process is a gateway or sidecar process. It is restarted whenever it ends, until close.
 type process struct {
+	role     string
 	box      graniteknot.BoxName
 	requests graniteknot.Address
 	proxy    *proxy
@@ -55,18 +56,24 @@
 		return nil, err
 	}
 	p := &process{
-		box: graniteknot.BoxName(ip), requests: graniteknot.Address(ip + ":18001"), proxy: way, binary: o.Binary,
+		role: "gateway", box: graniteknot.BoxName(ip), requests: graniteknot.Address(ip + ":18001"), proxy: way, binary: o.Binary,
 		settings: filepath.Join(o.Dir, ip+".ini"), readers: o.Readers,
 	}
-	if p.log, err = os.Create(filepath.Join(o.Dir, ip+".log")); err != nil {
-		return nil, err
-	}
 	if err := p.write(0); err != nil {
 		return nil, err
 	}
+	return p, p.start(o.Dir)
+}
+
+// start opens the log and starts the process.
+func (p *process) start(dir string) error {
+	var err error
+	if p.log, err = os.Create(filepath.Join(dir, string(p.box)+".log")); err != nil {
+		return err
+	}
 	p.unstableUntil = time.Now().Add(startTime)
 	p.group.Go(p.run)
-	return p, nil
+	return nil
 }
 
 // write writes the settings; each reload changes answer_life.
@@ -102,7 +109,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	for ctx.Err() == nil {
-		command := exec.CommandContext(ctx, p.binary, "gateway", "--config", p.settings) //nolint:gosec // The program is the caller's own.
+		command := exec.CommandContext(ctx, p.binary, p.role, "--config", p.settings) //nolint:gosec // The program is the caller's own.
 		command.Stdout, command.Stderr = p.log, p.log
 		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		p.mu.Lock()
