--- a/internal/core/ranks/knowledge.go
+++ b/internal/core/ranks/knowledge.go
@@ -95,7 +95,7 @@
 // answered when the report was read, and its step has not begun there.
 func (k *knowledge) changes(o *answeredOrder) bool {
 	s := &k.report.state
-	return o.answered.After(k.began) && o.Epoch == s.Epoch && o.Step > s.Step
+	return !o.answered.Before(k.began) && o.Epoch == s.Epoch && o.Step > s.Step
 }
 
 // snapshot returns the last report with the outcome of the orders that the rank carried out since.
