ranks: a look of a former coordinator is not recorded for its successor

Cause: a sidecar took in a look's fencing token and recorded its coordinator in two steps. Between them a look with a higher token may come, and the former coordinator's rank, and that it saw nothing armed, were then recorded for the successor. Change: they are recorded only while that token is the highest. An order that only makes a token known is not counted as an older answer.

--- a/internal/core/ranks/executor.go
+++ b/internal/core/ranks/executor.go
@@ -69,11 +69,14 @@
 	return e.forecast, e.forecastAt
 }
 
-// recordCoordinator stores a coordinator's rank, whether it saw that nothing was armed, and its
-// forecast if it is newer.
-func (e *Executor) recordCoordinator(r graniteknot.Rank, unarmed bool, f Forecast) {
+// recordCoordinator stores the rank of the coordinator with the highest fencing token, whether it saw
+// that nothing was armed, and its forecast if it is newer. A look of a former one is ignored.
+func (e *Executor) recordCoordinator(fence graniteknot.Position, r graniteknot.Rank, unarmed bool, f Forecast) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if fence != e.coordinator.fence {
+		return
+	}
 	e.coordinator.rank, e.coordinator.rankKnown = r, true
 	e.coordinator.unarmed = e.coordinator.unarmed || unarmed
 	if f.Sequence > e.forecast.Sequence {
@@ -117,7 +120,7 @@
 			return &wire.LookReply{Fenced: int64(higher)}, nil
 		}
 		if own := r.GetOwnRank(); own > 0 {
-			e.recordCoordinator(graniteknot.Rank(own-1), r.GetUnarmed(), Forecast{Skew: float64(r.GetSkew()), Loading: r.GetLoading(), Sequence: r.GetForecast()})
+			e.recordCoordinator(graniteknot.Position(r.GetFence()), graniteknot.Rank(own-1), r.GetUnarmed(), Forecast{Skew: float64(r.GetSkew()), Loading: r.GetLoading(), Sequence: r.GetForecast()})
 		}
 	}
 	report, err := e.Rank.Report(ctx)
--- a/internal/core/ranks/knowledge.go
+++ b/internal/core/ranks/knowledge.go
@@ -66,7 +66,7 @@
 // addOrder stores an order that the rank carried out, unless one for a later step is known.
 func (k *knowledge) addOrder(o *held.Order, now time.Time) verdict {
 	last := k.lastOrder(o.Kind)
-	if last == nil {
+	if last == nil || o.Step == held.NoStep {
 		return verdictKept
 	}
 	s := &k.report.state
