held: ranks read before and after a step that brings a map into force are passing

Change: if all armed ranks are armed for the newest map in force, the group is armed, as before; no orders in either case.

--- a/expertmap/held/decide.go
+++ b/expertmap/held/decide.go
@@ -74,6 +74,8 @@
 		return Decision{}
 	}
 	switch {
+	case g.contradictory && g.passing:
+		return Decision{Phase: PhaseArmed}
 	case g.contradictory:
 		return Decision{Phase: PhaseUnclear}
 	case g.armed != 0:
--- a/expertmap/held/group.go
+++ b/expertmap/held/group.go
@@ -20,6 +20,9 @@
 	// contradictory tells that the states can't all be of one moment: a rank is armed for a
 	// step that another one has begun, or two are armed for different maps or steps.
 	contradictory bool
+	// passing tells that all armed ranks are armed for the newest map in force: they were read
+	// before its step, others after.
+	passing bool
 	// held is the first step that any rank holds; NoStep for none.
 	held graniteknot.Step
 	// lastHeld is the last such step.
@@ -53,10 +56,12 @@
 
 // sumArmed finds the map that ranks are armed for. The latest step must be known.
 func (g *group) sumArmed(states []State) {
+	g.passing = true
 	for _, s := range states {
 		if s.Armed == 0 {
 			continue
 		}
+		g.passing = g.passing && s.Armed == g.mapping
 		if g.armed != 0 && (s.Armed != g.armed || s.ArmedAt != g.armedAt) || s.ArmedAt <= g.step || s.Armed <= g.mapping {
 			g.contradictory = true
 		}
