--- /dev/null
+++ b/review/rig-2/main.go
@@ -0,0 +1,61 @@
+//go:build review
+
+// Command rig-2 plays the cases of the second review: it starts gateways with the command of the deploy file before
+// stand-ins of the platform's store, of replicas and of clients.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNoRun  = 2
+)
+
+// cases are the plays by name. Each returns whether the rule was broken; an error means that it could not run.
+var cases = map[string]func(w *world, trouble bool) (bool, error){
+	"cut-at-planned-end": cutAtPlannedEnd,
+	"stop-bound-raised":  stopBoundRaised,
+	"drain-lowered":      drainLowered,
+}
+
+func main() {
+	args := os.Args[1:]
+	if len(args) == 3 && args[0] == "replica" {
+		fmt.Fprintln(os.Stderr, runReplica(args[1], args[2]))
+		os.Exit(exitNoRun)
+	}
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD")
+		os.Exit(exitNoRun)
+	}
+	os.Exit(play(args[0], args[1]))
+}
+
+func play(name, record string) int {
+	w, err := newWorld(record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNoRun
+	}
+	defer w.close()
+	trouble := os.Getenv("TROUBLE") != "0"
+	w.note("case %s, trouble %t", name, trouble)
+	broken, err := cases[name](w, trouble)
+	if err != nil {
+		w.note("could not run: %v", err)
+		fmt.Fprintln(os.Stderr, "could not run:", err)
+		return exitNoRun
+	}
+	if broken {
+		w.note("the rule was broken")
+		fmt.Println(name + ": the rule was broken")
+		return exitBroken
+	}
+	w.note("the rule held")
+	fmt.Println(name + ": the rule held")
+	return exitHeld
+}
--- /dev/null
+++ b/review/rig-2/replica.go
@@ -0,0 +1,158 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// replicaProcess is a model replica as the pages describe it, as a process of its own. It prints a line for each
+// request that it runs, and takes commands from standard input, one a line:
+//
+//	slow X     work takes X times as long from now on
+//
+// What a request asks for stands in its query: ms (its work), pieces (in how many parts the answer is written),
+// framing (length, chunks or close) and stream (a stream of events with as many events as pieces).
+type replicaProcess struct {
+	id   string
+	mu   sync.Mutex
+	slow float64
+}
+
+const bodySize = 800
+
+// bodyOf returns the whole body of the answer to a request.
+func bodyOf(id string) string {
+	line := id + " 0123456789 abcdefghij\n"
+	return strings.Repeat(line, bodySize/len(line)+1)[:bodySize]
+}
+
+// eventOf returns one event of the answer to a request for a stream.
+func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
+
+// streamOf returns all events of the answer.
+func streamOf(id string, events int) string {
+	var b strings.Builder
+	for n := range events {
+		b.WriteString(eventOf(id, n+1))
+	}
+	return b.String()
+}
+
+func runReplica(id, address string) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return err
+	}
+	r := &replicaProcess{id: id, slow: 1}
+	fmt.Printf("listens %s\n", listener.Addr())
+	go r.commands()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go r.serve(conn)
+	}
+}
+
+// commands reads commands; the process ends with its parent.
+func (r *replicaProcess) commands() {
+	lines := bufio.NewScanner(os.Stdin)
+	for lines.Scan() {
+		if x, ok := strings.CutPrefix(lines.Text(), "slow "); ok {
+			n, _ := strconv.ParseFloat(x, 64)
+			r.mu.Lock()
+			r.slow = n
+			r.mu.Unlock()
+		}
+	}
+	os.Exit(0)
+}
+
+func (r *replicaProcess) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if request.URL.Path == "/healthz" {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Graniteknot-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+			continue
+		}
+		if !r.answer(conn, request) {
+			return
+		}
+	}
+}
+
+// answer runs a request; false if its connection ends with it.
+func (r *replicaProcess) answer(conn net.Conn, request *http.Request) bool {
+	id := request.Header.Get("X-Graniteknot-Attempt-Id")
+	if expected := request.Header.Get("X-Graniteknot-Expected-Replica"); expected != "" && expected != r.id {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Graniteknot-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	}
+	q := request.URL.Query()
+	ms, _ := strconv.ParseFloat(q.Get("ms"), 64)
+	pieces, _ := strconv.Atoi(q.Get("pieces"))
+	pieces = max(pieces, 1)
+	r.mu.Lock()
+	work := time.Duration(ms * r.slow * float64(time.Millisecond))
+	r.mu.Unlock()
+	fmt.Printf("runs %s %d\n", id, time.Now().UnixMicro())
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Graniteknot-Attempt-Id: %s\r\nX-Graniteknot-Response-Seal: 3e1b.07.5a2.600.0.%s\r\n", id, r.id)
+	parts := make([]string, pieces)
+	framing := q.Get("framing")
+	if q.Has("stream") {
+		head += "Content-Type: text/event-stream\r\n"
+		for i := range parts {
+			parts[i] = eventOf(id, i+1)
+		}
+	} else {
+		body := bodyOf(id)
+		for i := range parts {
+			parts[i] = body[len(body)*i/pieces : len(body)*(i+1)/pieces]
+		}
+	}
+	switch framing {
+	case "chunks":
+		head += "Transfer-Encoding: chunked\r\n"
+	case "close":
+		head += "Connection: close\r\n"
+	default:
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(parts, "")))
+	}
+	for i, part := range parts {
+		time.Sleep(work / time.Duration(pieces))
+		if framing == "chunks" {
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
+		if i == 0 {
+			part = head + "\r\n" + part
+		}
+		if _, err := io.WriteString(conn, part); err != nil {
+			fmt.Printf("broken %s %d\n", id, time.Now().UnixMicro())
+			return false
+		}
+	}
+	if framing == "chunks" {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	fmt.Printf("done %s %d\n", id, time.Now().UnixMicro())
+	return framing != "close"
+}
