--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,7 @@
 		"version": 7,
 		"routes": []any{
 			route("r-stream", "/resumo/", "streaming", "redactor", 8000, 500, 2, true),
+			route("r-stream-once", "/traducao/", "streaming", "redactor", 8000, 500, 2, false),
 			route("r-once", "/entrega/", "non_idempotent", "fio", 2000, 300, 1, false),
 			route("r-safe", "/aviso/", "idempotent", "fio", 2000, 300, 2, false),
 		},
@@ -122,6 +124,47 @@
 	return broken, nil
 }
 
+// streamCutAtPlannedEnd has replicas end as planned while they still send streams that may not be resumed, one after the
+// other, each replaced before. The streams have no length, so they end with their connections.
+func streamCutAtPlannedEnd(w *world, trouble bool) (bool, error) {
+	const drainTime, longer, rounds, events = 2 * time.Second, 50 * time.Millisecond, 5, 24
+	_, g, err := setUp(w, "redactor", smallBounds())
+	if err != nil {
+		return false, err
+	}
+	next := func() *call {
+		return newCall(http.MethodPost, "/traducao/7?ms=2880&pieces=24&framing=close&stream=1", 8*time.Second)
+	}
+	broken := false
+	for i := range rounds {
+		leaving := w.replicas[i]
+		if _, err := w.startReplica("i-new-"+string(rune('a'+i)), "redactor", leaving.zone); err != nil {
+			return false, err
+		}
+		// The new replica is known before the old one leaves.
+		time.Sleep(3 * time.Second)
+		var all []*call
+		var sending sync.WaitGroup
+		sending.Go(func() { all = traffic(w, g, time.Now().Add(2*time.Second), 100*time.Millisecond, next) })
+		time.Sleep(500 * time.Millisecond)
+		if trouble {
+			at := w.drain(leaving)
+			time.Sleep(time.Until(at.Add(drainTime + longer)))
+			w.end(leaving)
+			w.forget(leaving)
+		}
+		sending.Wait()
+		for _, c := range all {
+			if c.status == http.StatusOK && c.complete && c.body != streamOf(c.id, events) {
+				ran, finished := w.runsOf(c.id)
+				w.note("ORDER: %s got 200, complete, with %d of the %d events; ran at %v, ended by %v", c.id, strings.Count(c.body, "\n\n"), events, ran, finished)
+				broken = true
+			}
+		}
+	}
+	return broken, nil
+}
+
 // stopBoundRaised raises grace_period_s from 4 to the 8 of the sheet with a SIGHUP and then stops the gateway with a
 // SIGTERM, while clients that still have its address send requests that take 4.6 s.
 func stopBoundRaised(w *world, trouble bool) (bool, error) {
@@ -170,14 +213,14 @@
 }
 
 // drainLowered lowers drain_timeout_ms from 5,000 to the 2,000 of the sheet with a SIGHUP at each of six gateways. Then
-// replicas leave, one after the other, each replaced before.
+// replicas leave, one after the other, each replaced after its end.
 func drainLowered(w *world, trouble bool) (bool, error) {
-	const drainTime, slack, rounds, gateways = 2 * time.Second, 50 * time.Millisecond, 10, 6
+	const drainTime, slack, rounds, gateways = 2 * time.Second, 50 * time.Millisecond, 20, 6
 	first := smallBounds()
 	if trouble {
 		first["drain_timeout_ms"] = 5000
 	}
-	replicas, _, err := setUp(w, "fio", first)
+	_, _, err := setUp(w, "fio", first)
 	if err != nil {
 		return false, err
 	}
@@ -196,17 +239,14 @@
 	time.Sleep(3 * time.Second)
 	broken := false
 	for i := range rounds {
-		if _, err := w.startReplica("i-new-"+string(rune('a'+i)), "fio", replicas[0].zone); err != nil {
-			return false, err
-		}
-		// The new replica is known before the old one leaves.
-		time.Sleep(3*time.Second + rand.N(2*time.Second))
+		time.Sleep(time.Second + rand.N(1500*time.Millisecond))
 		leaving := w.replicas[i]
 		at := w.drain(leaving)
+		time.Sleep(1500 * time.Millisecond)
 		var sending sync.WaitGroup
 		for _, g := range w.gateways {
 			sending.Go(func() {
-				traffic(w, g, at.Add(3500*time.Millisecond), 40*time.Millisecond, func() *call {
+				traffic(w, g, at.Add(2600*time.Millisecond), 60*time.Millisecond, func() *call {
 					return newCall(http.MethodGet, "/aviso/7?ms=60", 4*time.Second)
 				})
 			})
@@ -228,6 +268,9 @@
 		}
 		w.end(leaving)
 		w.forget(leaving)
+		if _, err := w.startReplica("i-new-"+string(rune('a'+i)), "fio", leaving.zone); err != nil {
+			return false, err
+		}
 	}
 	return broken, nil
 }
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -17,9 +17,10 @@
 
 // cases are the plays by name. Each returns whether the rule was broken; an error means that it could not run.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"cut-at-planned-end": cutAtPlannedEnd,
-	"stop-bound-raised":  stopBoundRaised,
-	"drain-lowered":      drainLowered,
+	"cut-at-planned-end":        cutAtPlannedEnd,
+	"stop-bound-raised":         stopBoundRaised,
+	"stream-cut-at-planned-end": streamCutAtPlannedEnd,
+	"drain-lowered":             drainLowered,
 }
 
 func main() {
