--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -7,6 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
 const (
@@ -36,6 +39,23 @@
 	os.Exit(play(args[0], args[1]))
 }
 
+// longest is how long a play may take.
+const longest = 116 * time.Second
+
+// giveUp ends the play, and all processes, when it takes too long or is told to end.
+func giveUp(w *world) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-stop:
+		w.note("told to end")
+	case <-time.After(longest):
+		w.note("takes too long")
+	}
+	w.close()
+	os.Exit(exitNoRun)
+}
+
 func play(name, record string) int {
 	w, err := newWorld(record)
 	if err != nil {
@@ -43,6 +63,7 @@
 		return exitNoRun
 	}
 	defer w.close()
+	go giveUp(w)
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.note("case %s, trouble %t", name, trouble)
 	broken, err := cases[name](w, trouble)
