--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -12,37 +12,9 @@
 	"time"
 )
 
-// configuration is like that of the small deployment.
-func configuration() map[string]any {
-	route := func(name, prefix, kind, backend string, timeout, aim, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": hostName, "path_prefix": prefix, "route_type": kind, "timeout_ms": timeout, "target_latency_ms": aim,
-			"priority": 1, "backend": backend, "max_attempts": attempts, "public": false, "session_affinity": kind == "streaming", "stream_resume": resume,
-			"target_gap_ms": 120,
-		}
-	}
-	return map[string]any{
-		"version": 7,
-		"routes": []any{
-			route("r-stream", "/resumo/", "streaming", "redactor", 8000, 500, 2, true),
-			route("r-stream-once", "/traducao/", "streaming", "redactor", 8000, 500, 2, false),
-			route("r-once", "/entrega/", "non_idempotent", "fio", 2000, 300, 1, false),
-			route("r-safe", "/aviso/", "idempotent", "fio", 2000, 300, 2, false),
-		},
-		"backends": []any{
-			map[string]any{"name": "redactor", "health_path": "/healthz", "max_connections": 268},
-			map[string]any{"name": "fio", "health_path": "/healthz", "max_connections": 48},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []any{apiKey}, "priority": 1}},
-	}
-}
-
 // setUp starts the replicas of a service, one a zone, and a gateway.
 func setUp(w *world, service string, bounds map[string]any) ([]*replica, *gateway, error) {
-	if err := w.putConfig(configuration()); err != nil {
-		return nil, nil, err
-	}
+	w.putConfig()
 	var list []*replica
 	for i, zone := range []string{"esgueira", "cacia", "ilhavo"} {
 		r, err := w.startReplica("i-"+service+"-"+string(rune('a'+i)), service, zone)
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -8,16 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 )
 
-const (
-	hostName = "ficu95.example"
-	apiKey   = "n2ctnfzs989anu6wsjnb"
-)
-
 var attempts atomic.Int64
 
 // call is one client attempt and what its client saw.
@@ -54,8 +50,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(c.deadline))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Graniteknot-Attempt-Id: %s\r\nX-Graniteknot-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n",
-		c.method, c.target, hostName, c.id, c.deadline.Milliseconds(), apiKey)
+	b.WriteString(head("request.txt", "method", c.method, "target", c.target, "id", c.id, "deadline", strconv.FormatInt(c.deadline.Milliseconds(), 10)))
 	if c.method == http.MethodPost {
 		b.WriteString("Content-Length: 4\r\n\r\nbody")
 	} else {
@@ -68,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	c.status, c.seal = response.StatusCode, response.Header.Get("X-Graniteknot-Response-Seal")
+	c.status, c.seal = response.StatusCode, response.Header.Get(header("seal.txt"))
 	body, err := io.ReadAll(response.Body)
 	c.body, c.complete = string(body), err == nil
 	return err
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"graniteknot.org/go/platform/platformtest"
 )
 
 // replicaProcess is a model replica as the pages describe it, as a process of its own. It prints a line for each
@@ -91,7 +93,7 @@
 			return
 		}
 		if request.URL.Path == "/healthz" {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Graniteknot-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+			_, _ = io.WriteString(conn, head("health.txt", "replica", r.id))
 			continue
 		}
 		if !r.answer(conn, request) {
@@ -102,9 +104,9 @@
 
 // answer runs a request; false if its connection ends with it.
 func (r *replicaProcess) answer(conn net.Conn, request *http.Request) bool {
-	id := request.Header.Get("X-Graniteknot-Attempt-Id")
-	if expected := request.Header.Get("X-Graniteknot-Expected-Replica"); expected != "" && expected != r.id {
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Graniteknot-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	id := platformtest.RequestID(request)
+	if expected := request.Header.Get(header("expected.txt")); expected != "" && expected != r.id {
+		_, _ = io.WriteString(conn, head("misdirected.txt", "id", id))
 		return true
 	}
 	q := request.URL.Query()
@@ -115,11 +117,11 @@
 	work := time.Duration(ms * r.slow * float64(time.Millisecond))
 	r.mu.Unlock()
 	fmt.Printf("runs %s %d\n", id, time.Now().UnixMicro())
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Graniteknot-Attempt-Id: %s\r\nX-Graniteknot-Response-Seal: 3e1b.07.5a2.600.0.%s\r\n", id, r.id)
+	lines := head("answer.txt", "id", id, "replica", r.id)
 	parts := make([]string, pieces)
 	framing := q.Get("framing")
 	if q.Has("stream") {
-		head += "Content-Type: text/event-stream\r\n"
+		lines += "Content-Type: text/event-stream\r\n"
 		for i := range parts {
 			parts[i] = eventOf(id, i+1)
 		}
@@ -131,11 +133,11 @@
 	}
 	switch framing {
 	case "chunks":
-		head += "Transfer-Encoding: chunked\r\n"
+		lines += "Transfer-Encoding: chunked\r\n"
 	case "close":
-		head += "Connection: close\r\n"
+		lines += "Connection: close\r\n"
 	default:
-		head += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(parts, "")))
+		lines += fmt.Sprintf("Content-Length: %d\r\n", len(strings.Join(parts, "")))
 	}
 	for i, part := range parts {
 		time.Sleep(work / time.Duration(pieces))
@@ -143,7 +145,7 @@
 			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 		}
 		if i == 0 {
-			part = head + "\r\n" + part
+			part = lines + "\r\n" + part
 		}
 		if _, err := io.WriteString(conn, part); err != nil {
 			fmt.Printf("broken %s %d\n", id, time.Now().UnixMicro())
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -22,6 +22,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/platform"
 	"graniteknot.org/go/platform/platformtest"
 )
 
@@ -119,15 +120,10 @@
 	}
 }
 
-// putConfig writes the operator's configuration.
-func (w *world) putConfig(config map[string]any) error {
-	text, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
-	w.store.Records.Put(graniteknot.TopicSettings, "config", text)
-	w.note("store: configuration %v acknowledged", config["version"])
-	return nil
+// putConfig writes the operator's configuration, which is like that of the small deployment.
+func (w *world) putConfig() {
+	w.store.Records.Put(graniteknot.TopicSettings, "config", []byte(text("config.json")))
+	w.note("store: the configuration is acknowledged")
 }
 
 const heartbeat = 1200 * time.Millisecond
@@ -161,11 +157,8 @@
 	w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	text, _ := json.Marshal(map[string]any{
-		"backend": r.service, "address": r.address, "zone": r.zone, "version": "v1", "capacity_slots": 6,
-		"phase": r.phase, "warmup_left_ms": 0, "sequence": beat,
-	})
-	w.store.Records.Put(graniteknot.TopicReplicas, r.id, text)
+	record := text("record.json", "service", r.service, "address", r.address, "zone", r.zone, "phase", r.phase, "beat", strconv.Itoa(beat))
+	w.store.Records.Put(graniteknot.TopicReplicas, r.id, []byte(record))
 }
 
 // drain has a replica say that it leaves, and returns when the store has taken that.
@@ -340,7 +333,7 @@
 		return nil, err
 	}
 	g.command = exec.Command("target/graniteknot", "gateway")
-	g.command.Env = append(os.Environ(), "GRANITEKNOT_NODE_FILE="+g.settings)
+	g.command.Env = append(os.Environ(), platform.SettingsVariable+"="+g.settings)
 	g.command.Stdout, g.command.Stderr = log, log
 	if err := g.command.Start(); err != nil {
 		return nil, err
@@ -367,7 +360,7 @@
 // isReady asks the gateway's readiness address, as the platform does.
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + g.ready + "/api/readyz")
+	response, err := client.Get("http://" + g.ready + platform.Dialect{}.ReadyPath())
 	if err != nil {
 		return false
 	}
