--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -20,10 +20,12 @@
 type call struct {
 	id, method, target string
 	deadline           time.Duration
-	sentAt, endedAt    time.Time
-	status             int
-	seal               string
-	body               string
+	// events is how many events the whole stream has.
+	events          int
+	sentAt, endedAt time.Time
+	status          int
+	seal            string
+	body            string
 	// complete tells that the framing of the answer marks its end.
 	complete bool
 	err      error
@@ -50,7 +52,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(c.deadline))
 	var b strings.Builder
-	b.WriteString(head("request.txt", "method", c.method, "target", c.target, "id", c.id, "deadline", strconv.FormatInt(c.deadline.Milliseconds(), 10)))
+	b.WriteString(head("request.txt", "method", c.method, "target", c.target, "id", c.id, "prompt", "714", "answer", "240", "deadline", strconv.FormatInt(c.deadline.Milliseconds(), 10)))
 	if c.method == http.MethodPost {
 		b.WriteString("Content-Length: 4\r\n\r\nbody")
 	} else {
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -18,18 +19,15 @@
 	exitNoRun  = 2
 )
 
-// cases are the plays by name. Each returns whether the rule was broken; an error means that it could not run.
-var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"cut-at-planned-end":        cutAtPlannedEnd,
-	"stop-bound-raised":         stopBoundRaised,
-	"stream-cut-at-planned-end": streamCutAtPlannedEnd,
-	"drain-lowered":             drainLowered,
-}
+// cases are the plays by name; the file of each adds it. Each returns whether the rule was broken; an error means that it
+// could not run.
+var cases = map[string]func(w *world, trouble bool) (bool, error){}
 
 func main() {
 	args := os.Args[1:]
-	if len(args) == 3 && args[0] == "replica" {
-		fmt.Fprintln(os.Stderr, runReplica(args[1], args[2]))
+	if len(args) == 4 && args[0] == "replica" {
+		n, _ := strconv.Atoi(args[3])
+		fmt.Fprintln(os.Stderr, runReplica(args[1], args[2], n))
 		os.Exit(exitNoRun)
 	}
 	if len(args) != 2 || cases[args[0]] == nil {
--- a/review/rig-2/replica.go
+++ b/review/rig-2/replica.go
@@ -11,25 +11,25 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"graniteknot.org/go/platform/platformtest"
 )
 
-// replicaProcess is a model replica as the pages describe it, as a process of its own. It prints a line for each
-// request that it runs, and takes commands from standard input, one a line:
-//
-//	slow X     work takes X times as long from now on
-//
-// What a request asks for stands in its query: ms (its work), pieces (in how many parts the answer is written),
+// replicaProcess is a replica as the pages describe it, as a process of its own. It prints a line for each request that
+// it runs. What a request asks for stands in its query: ms (its work), pieces (in how many parts the answer is written),
 // framing (length, chunks or close) and stream (a stream of events with as many events as pieces).
 type replicaProcess struct {
-	id   string
-	mu   sync.Mutex
-	slow float64
+	id string
+	// slots bounds the requests that run at once, and queue those that wait for that.
+	slots  chan struct{}
+	queued atomic.Int32
 }
 
+// queue is how many requests a replica of the small site lets wait.
+const queue = 24
+
 const bodySize = 800
 
 // bodyOf returns the whole body of the answer to a request.
@@ -50,14 +50,14 @@
 	return b.String()
 }
 
-func runReplica(id, address string) error {
+func runReplica(id, address string, slots int) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return err
 	}
-	r := &replicaProcess{id: id, slow: 1}
+	r := &replicaProcess{id: id, slots: make(chan struct{}, slots)}
 	fmt.Printf("listens %s\n", listener.Addr())
-	go r.commands()
+	go endWithParent()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -67,17 +67,9 @@
 	}
 }
 
-// commands reads commands; the process ends with its parent.
-func (r *replicaProcess) commands() {
-	lines := bufio.NewScanner(os.Stdin)
-	for lines.Scan() {
-		if x, ok := strings.CutPrefix(lines.Text(), "slow "); ok {
-			n, _ := strconv.ParseFloat(x, 64)
-			r.mu.Lock()
-			r.slow = n
-			r.mu.Unlock()
-		}
-	}
+// endWithParent ends the process when its parent has closed the pipe, or has ended.
+func endWithParent() {
+	_, _ = io.Copy(io.Discard, os.Stdin)
 	os.Exit(0)
 }
 
@@ -113,9 +105,15 @@
 	ms, _ := strconv.ParseFloat(q.Get("ms"), 64)
 	pieces, _ := strconv.Atoi(q.Get("pieces"))
 	pieces = max(pieces, 1)
-	r.mu.Lock()
-	work := time.Duration(ms * r.slow * float64(time.Millisecond))
-	r.mu.Unlock()
+	work := time.Duration(ms * float64(time.Millisecond))
+	if r.queued.Add(1) > queue {
+		r.queued.Add(-1)
+		_, _ = io.WriteString(conn, head("full.txt", "id", id))
+		return true
+	}
+	r.slots <- struct{}{}
+	r.queued.Add(-1)
+	defer func() { <-r.slots }()
 	fmt.Printf("runs %s %d\n", id, time.Now().UnixMicro())
 	lines := head("answer.txt", "id", id, "replica", r.id)
 	parts := make([]string, pieces)
--- a/review/rig-2/world.go
+++ b/review/rig-2/world.go
@@ -126,6 +126,9 @@
 	w.note("store: the configuration is acknowledged")
 }
 
+// slots is how many requests a replica of the small site works on at once.
+const slots = 12
+
 const heartbeat = 1200 * time.Millisecond
 
 // heartbeats has each replica write to the store about every heartbeat.
@@ -157,7 +160,7 @@
 	w.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	record := text("record.json", "service", r.service, "address", r.address, "zone", r.zone, "phase", r.phase, "beat", strconv.Itoa(beat))
+	record := text("record.json", "service", r.service, "address", r.address, "zone", r.zone, "phase", r.phase, "slots", strconv.Itoa(slots), "beat", strconv.Itoa(beat))
 	w.store.Records.Put(graniteknot.TopicReplicas, r.id, []byte(record))
 }
 
@@ -179,7 +182,7 @@
 		return nil, err
 	}
 	r := &replica{id: id, service: service, zone: zone, phase: "ready", exited: make(chan struct{}), finished: map[string]bool{}}
-	r.command = exec.Command(self, "replica", id, "127.0.0.1:0")
+	r.command = exec.Command(self, "replica", id, "127.0.0.1:0", strconv.Itoa(slots))
 	r.command.Stderr = os.Stderr
 	if r.input, err = r.command.StdinPipe(); err != nil {
 		return nil, err
@@ -229,9 +232,6 @@
 	w.note("replica %s %s %s", r.id, fields[0], fields[1])
 }
 
-// slow has a replica's work take x times as long.
-func (r *replica) slow(x float64) { _, _ = fmt.Fprintf(r.input, "slow %g\n", x) }
-
 // end ends a replica as its machine does at a planned end: the process gets SIGTERM and ends.
 func (w *world) end(r *replica) {
 	r.mu.Lock()
