orderly: a response that is reset while its request is still sent is not complete

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. Callers got that part as a complete response, on every kind of route.

Cause: the system reports a broken connection to one operation only. A body over 32 KiB is sent beside the read of the response; where the write was told of the reset, its error was dropped, and the read found a plain end, which ends a response without a length. That the replica still listens then seemed to confirm it.

Change: connections to replicas are of the new type orderly.Conn, which keeps what a write was told and returns it to reads in place of io.EOF. Where a write is in progress, the read ends the sending side and waits for it, so the two cannot pass each other. After an orderly end by the peer the system returns EPIPE to writes, which is no break; so sound early responses pass.

Responses that end in order (half-closed, or the request read whole) were complete before and are. A replica that reads nothing more until the system gives the connection up held before (TestEarlyResponseOfALostReplicaIsNotComplete); the test is kept.

--- a/internal/core/conns/body.go
+++ b/internal/core/conns/body.go
@@ -44,7 +44,7 @@
 }
 
 // sendBody sends a body while the response is awaited. Reading the response reports a broken
-// connection, so errors are ignored here.
+// connection, also one that is found here, so errors are ignored here.
 func (c *Conn) sendBody(body []byte) {
 	for {
 		sent, err := stall.Write(c.net, body, c.unreadLimit)
--- a/internal/core/conns/closed.go
+++ b/internal/core/conns/closed.go
@@ -1,7 +1,7 @@
 package conns
 
 import (
-	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -10,7 +10,7 @@
 // SinceClosed returns how long ago the replica's last packet arrived, which on a connection that it has closed is the
 // one that closed it; false if the system does not tell.
 func (c *Conn) SinceClosed() (time.Duration, bool) {
-	tcp, ok := c.net.(*net.TCPConn)
+	tcp, ok := c.net.(syscall.Conn)
 	if !ok {
 		return 0, false
 	}
--- a/internal/core/conns/pool.go
+++ b/internal/core/conns/pool.go
@@ -11,6 +11,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/stall"
+	"graniteknot.org/go/internal/orderly"
 )
 
 const (
@@ -138,6 +139,7 @@
 	if p.UnreadLimit > 0 {
 		stall.BoundSystemBuffers(conn)
 	}
+	conn = orderly.New(conn)
 	head := &headReader{net: conn}
 	return &Conn{
 		net: conn, head: head, reader: bufio.NewReaderSize(head, readBuffer),
