target: an early plain answer that is reset is not whole

What callers saw: a plain service behind an agent answered a large request without a length before it had read it, and reset the connection; the part that had come was passed on as the whole answer.

Cause: as in the forwarder, with net/http's client: its write of the body is told of the reset, and its read finds a plain end.

Change: the connections to plain services and engines are orderly.Conn, whose reads return what a write was told.

An answer that is half-closed while the service reads on is whole, as before.

--- a/internal/target/doc.go
+++ b/internal/target/doc.go
@@ -5,6 +5,7 @@
 package target
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/boundedhttp"
+	"graniteknot.org/go/internal/orderly"
 )
 
 var dialer = net.Dialer{Timeout: time.Second}
@@ -22,13 +24,22 @@
 // breaks, and a call that may not be repeated must not meet that.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: boundedhttp.MaxHead,
 	}
 }
 
+// dial opens a connection that tells an orderly end from a break, since a plain answer may have no other end.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return orderly.New(conn), nil
+}
+
 // classify marks errors of a connection that was never made.
 func classify(err error) error {
 	var dial *net.OpError
