strict: a response whose status is none of HTTP's is refused at once

What callers saw: a replica in trouble answered with status 600 or 999, and callers got that as its answer. After 000 or another status under 100 they waited until their deadline, or got what came behind it as the answer.

Cause: net/http takes any three digits for a status. The pool took all those under 200 for interim responses and read on, and nothing refused those over 599. 101, which no request asks for, was skipped in the same way.

Change: package strict checks the heads that net/http parses: a status is 100 to 599 (RFC 9110, section 15) and does not switch protocols. Pool checks each head, those of interim and of stale responses too; a bad one is a spoiled response, and its connection is reset. So do all other readers of responses: the clients of the store, of ranks, of the log and the list of boxes, of other processes, of engines and plain services, the load tool and the addresses command.

Evidence: TestStatusOutsideHTTPIsRefused failed before in 11 of 16 cases: 600 and 999 reached callers, without a body the rest was held for 20 s, their deadline, and a sound response behind a 000 was passed on. TestStatusOutsideHTTPFails and TestAnswerWithoutAStatusIsNotPassedOn failed before for the other clients; sound heads pass before and after.

--- a/cmd/graniteknot/cmd/addresses.go
+++ b/cmd/graniteknot/cmd/addresses.go
@@ -8,6 +8,8 @@
 	"net/url"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"graniteknot.org/go/internal/strict"
 )
 
 func registerAddresses(app *kingpin.Application, commands registry) {
@@ -27,7 +29,8 @@
 		return err
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := http.DefaultClient.Do(request)
+	client := http.Client{Transport: &strict.Transport{}}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/internal/boundedhttp/transport.go
+++ b/internal/boundedhttp/transport.go
@@ -1,12 +1,14 @@
 // Package boundedhttp bounds what HTTP clients read of a response, whose server may be in trouble and
-// send without end, and refuses bodies whose end nothing proves. It does not bound how long a response
-// takes; contexts and timeouts do.
+// send without end, and refuses bodies whose end nothing proves and responses that are no HTTP. It does not
+// bound how long a response takes; contexts and timeouts do.
 package boundedhttp
 
 import (
 	"errors"
 	"io"
 	"net/http"
+
+	"graniteknot.org/go/internal/strict"
 )
 
 // MaxHead bounds the head of a response in bytes, those of 1xx responses before it included. It is to be
@@ -40,11 +42,7 @@
 // RoundTrip implements http.RoundTripper. A body that is unframed, or stated to be too large, fails with
 // its first read.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	base := t.Base
-	if base == nil {
-		base = http.DefaultTransport
-	}
-	response, err := base.RoundTrip(r)
+	response, err := (&strict.Transport{Base: t.Base}).RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/core/conns/conn.go
+++ b/internal/core/conns/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"graniteknot.org/go/internal/core/stall"
 	"graniteknot.org/go/internal/group"
+	"graniteknot.org/go/internal/strict"
 )
 
 const (
@@ -95,6 +97,9 @@
 		if err != nil {
 			return nil, c.readError(err)
 		}
+		if err := strict.Check(response); err != nil {
+			return nil, c.readError(fmt.Errorf("%w: %w", errNotHTTP, err))
+		}
 		if response.StatusCode < http.StatusOK {
 			if informational++; informational > maxInformational {
 				return nil, c.readError(errTooLarge)
--- a/internal/core/link/client.go
+++ b/internal/core/link/client.go
@@ -18,6 +18,7 @@
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/boundedhttp"
 	"graniteknot.org/go/internal/core/relay"
+	"graniteknot.org/go/internal/strict"
 	"graniteknot.org/go/internal/wire"
 )
 
@@ -41,7 +42,7 @@
 
 		MaxResponseHeaderBytes: boundedhttp.MaxHead,
 	}
-	return &Client{http: &http.Client{Transport: transport}, unary: &http.Client{Transport: &boundedhttp.Transport{Base: transport, MaxBody: MaxMessage}}}
+	return &Client{http: &http.Client{Transport: &strict.Transport{Base: transport}}, unary: &http.Client{Transport: &boundedhttp.Transport{Base: transport, MaxBody: MaxMessage}}}
 }
 
 // Close closes idle connections.
--- a/internal/core/load/client.go
+++ b/internal/core/load/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/internal/strict"
 )
 
 // Caller is a client program of one client account. Set the exported fields before use.
@@ -112,13 +113,19 @@
 // roundTrip sends a request as a kind of caller does.
 func (c *Caller) roundTrip(request *http.Request, kind CallerKind) (*http.Response, error) {
 	if kind == CallerHTTP10 {
-		return http10Transport{}.RoundTrip(request)
+		return (&strict.Transport{Base: http10Transport{}}).RoundTrip(request)
 	}
 	response, err := c.HTTP.Do(request)
-	if err == nil && kind == CallerSlow {
+	if err != nil {
+		return nil, err
+	}
+	if err := strict.Check(response); err != nil {
+		return nil, errors.Join(err, response.Body.Close())
+	}
+	if kind == CallerSlow {
 		response.Body = &slowBody{ReadCloser: response.Body}
 	}
-	return response, err
+	return response, nil
 }
 
 // NewIdempotencyKey returns a key for a call that is not repeatable.
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -13,6 +13,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/eventstream"
+	"graniteknot.org/go/internal/strict"
 )
 
 // Headers that an engine understands beside the completion call.
@@ -64,7 +65,7 @@
 	transport.DisableKeepAlives = false
 	transport.MaxIdleConnsPerHost = 256
 	transport.IdleConnTimeout = time.Minute
-	return &Engine{url: "http://" + string(a), http: &http.Client{Transport: transport}}
+	return &Engine{url: "http://" + string(a), http: &http.Client{Transport: &strict.Transport{Base: transport}}}
 }
 
 // Close closes idle connections.
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -10,6 +10,7 @@
 
 	graniteknot "graniteknot.org/go"
 	"graniteknot.org/go/internal/core/flight"
+	"graniteknot.org/go/internal/strict"
 )
 
 // pieceSize is how much of a plain answer is passed on at once, in bytes.
@@ -26,7 +27,7 @@
 // NewPlain returns the service at an address.
 func NewPlain(a graniteknot.Address) *Plain {
 	client := &http.Client{
-		Transport: newTransport(),
+		Transport: &strict.Transport{Base: newTransport()},
 		// A redirect is the caller's to follow; following it here would be a
 		// second call.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
