--- a/internal/core/forward/badhead_test.go
+++ b/internal/core/forward/badhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -71,6 +72,89 @@
 	})
 }
 
+// badFields are header lines that are none, and what follows the head.
+var badFields = map[string]struct{ lines, body string }{
+	"blank in a name":                {"X A: b\r\nContent-Length: 4\r\n", "half"},
+	"blank before a colon":           {"X-A : b\r\nContent-Length: 4\r\n", "half"},
+	"length":                         {"Content-Length : 4\r\n", "half of what the length says"},
+	"length beside a length":         {"Content-Length : 8\r\nContent-Length: 4\r\n", "half"},
+	"chunks":                         {"Transfer-Encoding : chunked\r\nContent-Length: 4\r\n", "4\r\nhalf\r\n0\r\n\r\n"},
+	"chunks without a length":        {"Transfer-Encoding : chunked\r\n", "4\r\nhalf\r\n0\r\n\r\n"},
+	"tab in a name":                  {"X\tA: b\r\nContent-Length: 4\r\n", "half"},
+	"tab before a colon":             {"X-A\t: b\r\nContent-Length: 4\r\n", "half"},
+	"control byte in a name":         {"X\x01A: b\r\nContent-Length: 4\r\n", "half"},
+	"zero byte in a name":            {"X\x00A: b\r\nContent-Length: 4\r\n", "half"},
+	"carriage return in a name":      {"X\rA: b\r\nContent-Length: 4\r\n", "half"},
+	"delete in a name":               {"X\x7fA: b\r\nContent-Length: 4\r\n", "half"},
+	"byte beyond ASCII in a name":    {"X\xc3\xa4: b\r\nContent-Length: 4\r\n", "half"},
+	"separator in a name":            {"X(A): b\r\nContent-Length: 4\r\n", "half"},
+	"no name":                        {": b\r\nContent-Length: 4\r\n", "half"},
+	"no colon":                       {"X-A\r\nContent-Length: 4\r\n", "half"},
+	"control byte in a value":        {"X-A: \x01\r\nContent-Length: 4\r\n", "half"},
+	"zero byte in a value":           {"X-A: a\x00b\r\nContent-Length: 4\r\n", "half"},
+	"carriage return in a value":     {"X-A: a\rb\r\nContent-Length: 4\r\n", "half"},
+	"two lengths":                    {"Content-Length: 4\r\nContent-Length: 2\r\n", "half"},
+	"length with a sign":             {"Content-Length: +4\r\n", "half"},
+	"negative length":                {"Content-Length: -4\r\n", "half"},
+	"length in a list":               {"Content-Length: 4, 2\r\n", "half"},
+	"unknown transfer encoding":      {"Transfer-Encoding: gzip, chunked\r\n", "4\r\nhalf\r\n0\r\n\r\n"},
+	"transfer encoding twice":        {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "4\r\nhalf\r\n0\r\n\r\n"},
+	"blank in a trailer's name":      {"Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n0\r\nX A: b\r\n\r\n"},
+	"blank before a trailer's colon": {"Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n0\r\nX-A : b\r\n\r\n"},
+	"control byte in a trailer":      {"Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n0\r\nX\x01A: b\r\n\r\n"},
+}
+
+// TestHeadWithBadFieldsIsRefused guards against names of fields that are none: callers get such a line, or a body that is framed by something else.
+func TestHeadWithBadFieldsIsRefused(t *testing.T) {
+	for name, c := range badFields {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			refusesResponse(t, "HTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Type: text/plain\r\n"+c.lines+"\r\n"+c.body)
+		})
+	}
+	sound := "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 4\r\n\r\nhalf"
+	t.Run("interim response", func(t *testing.T) {
+		t.Parallel()
+		refusesResponse(t, "HTTP/1.1 103 Early Hints\r\nContent-Length : 4\r\n\r\n"+sound)
+	})
+	t.Run("stale response", func(t *testing.T) {
+		t.Parallel()
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+staleHeaders+"X A: b\r\nContent-Length: 0\r\n\r\n"+sound)
+	})
+	t.Run("trailer of a stale response", func(t *testing.T) {
+		t.Parallel()
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+staleHeaders+"Transfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n"+sound)
+	})
+	t.Run("first line with a blank", func(t *testing.T) {
+		t.Parallel()
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n X-A: b\r\n"+ownHeaders+"Content-Length: 4\r\n\r\nhalf")
+	})
+}
+
+// TestStreamWithBadFieldsIsNotComplete guards against the same at the head and behind the last event of a stream.
+func TestStreamWithBadFieldsIsNotComplete(t *testing.T) {
+	event := platformtest.Event(1, "token")
+	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(event), event)
+	for name, c := range map[string]struct{ line, end string }{
+		"head":         {"X A: b\r\n", "\r\n"},
+		"framing":      {"Content-Length : 4\r\n", "\r\n"},
+		"trailer":      {"", "X A: b\r\n\r\n"},
+		"control byte": {"", "X\x01A: b\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newFixture(t, catalog.KindStream, platformtest.Raw("HTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"+c.line+"\r\n"+chunk+c.end))
+			began := time.Now()
+			if result := r.do(context.Background()); result.Outcome == graniteknot.OutcomeAnswered || result.ResponseStarted != (c.line == "") {
+				t.Errorf("%+v with %q", result, r.sink.body.String())
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("held for %v", took)
+			}
+		})
+	}
+}
+
 // TestSoundHeadsAreAccepted guards against sound responses that are taken for broken ones.
 func TestSoundHeadsAreAccepted(t *testing.T) {
 	sound := "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 5\r\n\r\nsound"
--- a/internal/strict/transport_test.go
+++ b/internal/strict/transport_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// TestBadFieldsFail guards against names of fields that are none: a client would read a body that is framed by something else.
+func TestBadFieldsFail(t *testing.T) {
+	for _, rest := range []string{
+		"X A: b\r\nContent-Length: 4\r\n\r\nhalf", "Content-Length : 4\r\n\r\nhalf of it", "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"X\x01A: b\r\nContent-Length: 4\r\n\r\nhalf", "X\tA: b\r\nContent-Length: 4\r\n\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nX A: b\r\n\r\n",
+	} {
+		for name, transport := range transports() {
+			if body, err := get(t, serve(t, "HTTP/1.1 200 OK\r\n"+rest), transport); err == nil {
+				t.Errorf("%s, %q: %q", name, rest, body)
+			}
+		}
+	}
+}
+
 // TestSoundResponsesPass guards against sound responses that are refused.
 func TestSoundResponsesPass(t *testing.T) {
 	for _, head := range []string{"200 OK", "599 X", "100 Continue\r\n\r\nHTTP/1.1 404 Not Found"} {
--- a/internal/target/badhead_test.go
+++ b/internal/target/badhead_test.go
@@ -58,3 +58,10 @@
 		refusesAnswer(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 4\r\n\r\nhalf")
 	}
 }
+
+// TestAnswerWithBadFieldsIsNotPassedOn guards against names of fields that are none, also where they are to frame the body.
+func TestAnswerWithBadFieldsIsNotPassedOn(t *testing.T) {
+	for _, line := range []string{"X A: b\r\nContent-Length: 4", "Content-Length : 4", "Transfer-Encoding : chunked\r\nContent-Length: 4", "X\x01A: b"} {
+		refusesAnswer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nhalf")
+	}
+}
