conns: an HTTP/1.0 response in chunks is refused

What callers saw: a replica's HTTP/1.0 response with Transfer-Encoding: chunked reached callers with the sizes of its chunks in the body, and without a length held them until their deadline while its connection stayed open.

Cause: net/http drops that field from HTTP/1.0 messages, so that nothing tells of it after the head is parsed.

Change: the head of an HTTP/1.0 response is recorded while it is parsed, and one with a transfer encoding is a spoiled response (RFC 9112, section 6.1). Responses of HTTP/1.1 are read as before.

The clients built on net/http's own transport can't see the field; they refuse bodies without a length, but for plain services behind agents.

--- a/internal/core/conns/conn.go
+++ b/internal/core/conns/conn.go
@@ -90,10 +90,7 @@
 	c.head.bounded, c.head.left = true, c.maxHead
 	defer func() { c.head.bounded = false }()
 	for skipped, informational := 0, 0; ; {
-		if err := checkStart(c.reader); err != nil {
-			return nil, c.readError(err)
-		}
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, c.readError(err)
 		}
@@ -126,7 +123,7 @@
 	case errors.Is(err, errTooLarge):
 		c.Abort()
 		return &Error{Op: "read answer", Kind: KindTooLarge, Err: err}
-	case errors.Is(err, errNotHTTP):
+	case errors.Is(err, errNotHTTP), errors.Is(err, errFraming):
 		c.Abort()
 	}
 	return &Error{Op: "read answer", Kind: readKind(err), Err: err}
--- a/internal/core/conns/head.go
+++ b/internal/core/conns/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -33,6 +34,8 @@
 	bounded bool
 	// left is how many more bytes may be read while bounded.
 	left int
+	// record, if it is set, gets what is read while bounded.
+	record *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -45,6 +48,9 @@
 	}
 	n, err := h.net.Read(p[:min(len(p), h.left)])
 	h.left -= n
+	if h.record != nil {
+		h.record.Write(p[:n])
+	}
 	return n, err
 }
 
--- a/internal/core/forward/badhead_test.go
+++ b/internal/core/forward/badhead_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -131,6 +132,22 @@
 	})
 }
 
+// TestHTTP10ResponseInChunksIsRefused guards against a body that holds the sizes of its chunks.
+func TestHTTP10ResponseInChunksIsRefused(t *testing.T) {
+	const chunks = "4\r\nhalf\r\n0\r\n\r\n"
+	for name, lines := range map[string]string{
+		"no length":  "transfer-encoding: chunked\r\n",
+		"length":     "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n",
+		"long head":  "X-A: " + strings.Repeat("a", 16<<10) + "\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n",
+		"other case": "TRANSFER-ENCODING:chunked\r\nContent-Length: 14\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			refusesResponse(t, "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n"+ownHeaders+lines+"\r\n"+chunks)
+		})
+	}
+}
+
 // TestStreamWithBadFieldsIsNotComplete guards against the same at the head and behind the last event of a stream.
 func TestStreamWithBadFieldsIsNotComplete(t *testing.T) {
 	event := platformtest.Event(1, "token")
@@ -161,20 +178,23 @@
 	for name, c := range map[string]struct {
 		response string
 		status   int
+		// body is "sound" if it is empty.
+		body string
 	}{
-		"plain":            {sound, http.StatusOK},
-		"interim":          {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound, http.StatusOK},
-		"stale":            {"HTTP/1.1 200 OK\r\n" + staleHeaders + "Content-Length: 5\r\n\r\nstale" + sound, http.StatusOK},
-		"unknown status":   {strings.Replace(sound, "200 OK", "299 X", 1), 299},
-		"highest status":   {strings.Replace(sound, "200 OK", "599 X", 1), 599},
-		"any token":        {strings.Replace(sound, "Content", "!#$%&'*+-.^_`|~9aZ: x\r\nContent", 1), http.StatusOK},
-		"HTTP/1.0":         {strings.Replace(sound, "HTTP/1.1", "HTTP/1.0", 1), http.StatusOK},
-		"chunks, trailers": {"HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-A: b c\r\n\r\n", http.StatusOK},
+		"plain":            {response: sound, status: http.StatusOK},
+		"interim":          {response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound, status: http.StatusOK},
+		"stale":            {response: "HTTP/1.1 200 OK\r\n" + staleHeaders + "Content-Length: 5\r\n\r\nstale" + sound, status: http.StatusOK},
+		"unknown status":   {response: strings.Replace(sound, "200 OK", "299 X", 1), status: 299},
+		"highest status":   {response: strings.Replace(sound, "200 OK", "599 X", 1), status: 599},
+		"any token":        {response: strings.Replace(sound, "Content", "!#$%&'*+-.^_`|~9aZ: x\r\nContent", 1), status: http.StatusOK},
+		"HTTP/1.0, body":   {response: "HTTP/1.0 200 OK\r\n" + ownHeaders + "Content-Length: 27\r\n\r\n\ntransfer-encoding: chunked", status: http.StatusOK, body: "\ntransfer-encoding: chunked"},
+		"HTTP/1.0":         {response: strings.Replace(sound, "HTTP/1.1", "HTTP/1.0", 1), status: http.StatusOK},
+		"chunks, trailers": {response: "HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-A: b c\r\n\r\n", status: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newFixture(t, catalog.KindOnce, platformtest.Raw(c.response))
-			if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeAnswered || r.sink.status != c.status || r.sink.body.String() != "sound" {
+			if result := r.do(context.Background()); result.Outcome != graniteknot.OutcomeAnswered || r.sink.status != c.status || r.sink.body.String() != cmp.Or(c.body, "sound") {
 				t.Errorf("%+v with status %d and %q", result, r.sink.status, r.sink.body.String())
 			}
 		})
