gateway: what can't be served before a stop ends is refused, not passed on and cut off

What callers saw: in a planned stop, requests whose last byte came late in the grace were passed on to replicas and cut off with no answer at its end, also on routes that may run once.

Cause: a stopping gateway forwarded whatever it had read whole, however little time was left, and at the bound closed all connections.

Change: package graceful holds the schedule of a stop. After 3/8 of its bound (3 s of 8, the time up to which the users' rules excuse a long request) a request is forwarded only if its deadline or its route's time-out ends before the abort. All others are refused as not run, at once and without a time to come back, since other gateways can serve them: before the first attempt, after a wait for capacity, before a repeat, and while the body is still being sent, whose read ends then. A stream that has begun may still go on at another replica. At the abort, requests in progress expire: they get a 504 in place of a closed connection.

How long a replica takes is not known; a refusal is certain, and another gateway can serve the request in full.

New and idle connections held before: heads that end after the listeners are closed are not read.

--- a/internal/core/forward/deadlines.go
+++ b/internal/core/forward/deadlines.go
@@ -17,15 +17,19 @@
 }
 
 type deadline struct {
+	// at is zero for a request that may take any time.
 	at     time.Time
 	cancel func()
 }
 
-// add calls cancel at a deadline, which is after remaining by the monotonic clock. The
-// returned function removes the deadline.
+// add calls cancel at a deadline, which is after remaining by the monotonic clock; a zero one is
+// none. The returned function removes the deadline.
 func (s *deadlineSet) add(at time.Time, remaining time.Duration, cancel func()) (remove func()) {
 	d := &deadline{at, cancel}
-	timer := time.AfterFunc(remaining, cancel)
+	stop := func() bool { return false }
+	if !at.IsZero() {
+		stop = time.AfterFunc(remaining, cancel).Stop
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pending == nil {
@@ -33,7 +37,7 @@
 	}
 	s.pending[d] = struct{}{}
 	return func() {
-		timer.Stop()
+		stop()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.pending, d)
@@ -58,13 +62,24 @@
 	defer s.mu.Unlock()
 	var out []func()
 	for d := range s.pending {
-		if !now.Before(d.at) {
+		if !d.at.IsZero() && !now.Before(d.at) {
 			out = append(out, d.cancel)
 		}
 	}
 	return out
 }
 
+// all returns the cancel functions of all requests.
+func (s *deadlineSet) all() []func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []func()
+	for d := range s.pending {
+		out = append(out, d.cancel)
+	}
+	return out
+}
+
 // CancelExpired cancels the requests whose deadline passed while the box was suspended.
 func (f *Forwarder) CancelExpired() {
 	if !f.deadlines.detectSuspension(f.Clock.Ahead()) {
@@ -74,3 +89,10 @@
 		cancel()
 	}
 }
+
+// ExpireAll ends all requests in progress as if their deadlines had passed.
+func (f *Forwarder) ExpireAll() {
+	for _, cancel := range f.deadlines.all() {
+		cancel()
+	}
+}
--- a/internal/core/forward/forwarder.go
+++ b/internal/core/forward/forwarder.go
@@ -38,6 +38,9 @@
 	ConnLimit func(*catalog.Service) int
 	// Quarantine holds the requests that must not reach replicas; nil disables it.
 	Quarantine *quarantine.Table
+	// ForwardBy returns until when a request may be forwarded that has to be answered by a time; zero stands for
+	// none in both. nil is no bound.
+	ForwardBy func(respondBy time.Time) time.Time
 	// Buffered counts the bytes of responses that are held; nil is unbounded.
 	Buffered *membudget.Budget
 
@@ -63,9 +66,7 @@
 func (f *Forwarder) Do(parent context.Context, request *RoutedRequest, sink Sink) Result {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	if !request.RespondBy.IsZero() {
-		defer f.deadlines.add(request.RespondBy, f.Clock.Until(request.RespondBy), func() { cancel(errTimeout) })()
-	}
+	defer f.deadlines.add(request.RespondBy, f.Clock.Until(request.RespondBy), func() { cancel(errTimeout) })()
 	r := &inflightRequest{f: f, request: request, sink: sink, ctx: ctx}
 	r.order.Resume(string(request.LastEventID))
 	defer r.releaseBodies()
@@ -205,10 +206,14 @@
 		now := r.f.Clock.Now()
 		return fleet.WaitBounds{FirstEventBy: now, GiveUpAt: now}
 	}
-	return fleet.WaitBounds{
+	bounds := fleet.WaitBounds{
 		FirstEventBy: first.Add(r.request.Route.Aim - latencyMargin),
 		GiveUpAt:     from.Add(max(time.Duration(queueWaitFactor*float64(r.request.Route.Aim)), minQueueWait)),
 	}
+	if by := r.forwardBy(); !by.IsZero() && by.Before(bounds.GiveUpAt) {
+		bounds.GiveUpAt = by
+	}
+	return bounds
 }
 
 // noLeaseReason returns why no replica could be acquired.
@@ -216,6 +221,9 @@
 	if r.ctx.Err() != nil {
 		return r.cancelReason()
 	}
+	if r.tooLate() {
+		return ReasonStopping
+	}
 	if r.blocked() {
 		return ReasonQuarantined
 	}
@@ -242,6 +250,8 @@
 		return r.cancelReason(), false
 	case r.timedOut():
 		return ReasonTimeout, false
+	case r.tooLate():
+		return ReasonStopping, false
 	case r.request.Account != nil && !r.f.ConfigFresh():
 		return ReasonStaleConfig, false
 	case r.blocked():
@@ -276,6 +286,21 @@
 	return !r.request.RespondBy.IsZero() && !r.f.Clock.Exact().Before(r.request.RespondBy)
 }
 
+// forwardBy returns until when the request may be forwarded; zero for no bound. A stream that has begun may go on,
+// since its client has a part of it already.
+func (r *inflightRequest) forwardBy() time.Time {
+	if r.f.ForwardBy == nil || r.result.ResponseStarted {
+		return time.Time{}
+	}
+	return r.f.ForwardBy(r.request.RespondBy)
+}
+
+// tooLate reports whether the request may no longer be forwarded.
+func (r *inflightRequest) tooLate() bool {
+	by := r.forwardBy()
+	return !by.IsZero() && !r.f.Clock.Exact().Before(by)
+}
+
 // cancelReason returns why the request's context was canceled.
 func (r *inflightRequest) cancelReason() Reason {
 	if errors.Is(context.Cause(r.ctx), errTimeout) {
--- a/internal/core/forward/result.go
+++ b/internal/core/forward/result.go
@@ -47,6 +47,8 @@
 	ReasonReplicaBackoff Reason = "replicas-rest"
 	// ReasonRateLimited: all replicas have a rate limit, and this process has no permit left.
 	ReasonRateLimited Reason = "replicas-limited"
+	// ReasonStopping: this process is shutting down and might not see the end of the request.
+	ReasonStopping Reason = "stopping"
 	// ReasonRetryBudget: the retry budget is empty.
 	ReasonRetryBudget Reason = "retry-budget"
 )
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"graniteknot.org/go/internal/core/eventlog"
 	"graniteknot.org/go/internal/core/fleet"
 	"graniteknot.org/go/internal/core/forward"
+	"graniteknot.org/go/internal/core/graceful"
 	"graniteknot.org/go/internal/core/membudget"
 	"graniteknot.org/go/internal/core/meter"
 	"graniteknot.org/go/internal/core/presence"
@@ -115,8 +116,11 @@
 	bundler          presence.Bundler
 	relaying         atomic.Bool
 	relayAnnouncedAt time.Time
-	// leaving is set once a graceful shutdown has begun.
-	leaving atomic.Bool
+	// leaving is set once a graceful shutdown has begun, shutdown is its schedule.
+	leaving  atomic.Bool
+	shutdown atomic.Pointer[graceful.Schedule]
+	// bodyReads holds the reads of requests' bodies.
+	bodyReads bodyReads
 	// reloadable holds the settings that Reload replaces; the rest of Config is fixed for the life
 	// of the process.
 	reloadable atomic.Pointer[directconf.Config]
@@ -171,7 +175,7 @@
 		RetryBudgets: &forward.RetryBudgets{Percent: g.retryPercent, Burst: g.retryBurst},
 	}
 	g.Pool.MaxHead = int(o.Config.MaxResponseHead)
-	g.Forwarder.Buffered = &g.buffered
+	g.Forwarder.Buffered, g.Forwarder.ForwardBy = &g.buffered, g.forwardBy
 	g.buffered.SetLimit(int64(o.Config.Memory / bufferedShare))
 	if o.Config.SlowPeers {
 		g.boundUnread()
--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	graniteknot "graniteknot.org/go"
@@ -124,11 +125,14 @@
 	}
 	control := http.NewResponseController(x.w)
 	err := x.bufferBody(reader, limit, control)
-	_ = control.SetReadDeadline(time.Time{})
 	x.request.Body = x.body.Bytes()
 	if err == nil {
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && x.stopsFirst() {
+		x.refuseForStop(control)
+		return false
+	}
 	if errors.Is(err, membudget.ErrFull) {
 		x.refuseForMemory(control)
 		return false
@@ -166,6 +170,9 @@
 
 // writeFailure writes a failure response of the product's own.
 func (x *exchange) writeFailure(status int, delay time.Duration) {
+	if x.gateway.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
 	x.gateway.Translator.Refusal(x.w.Header(), x.request.ID, delay)
 	x.w.WriteHeader(status)
 }
@@ -208,6 +215,10 @@
 	if r.Reason == forward.ReasonQuarantined {
 		return retryAfterQuarantined
 	}
+	if r.Reason == forward.ReasonStopping {
+		// Another gateway can serve the request at once.
+		return 0
+	}
 	if r.RetryAfter > 0 {
 		// The jitter spreads the retries to replicas whose rest has just ended.
 		return time.Duration((1 + 0.2*rand.Float64()) * float64(max(r.RetryAfter, retryAfterUnavailable)))
@@ -269,12 +280,3 @@
 	}
 	return ""
 }
-
-// readDeadline converts the request's deadline to the monotonic clock that connections use; zero
-// means none.
-func (x *exchange) readDeadline() time.Time {
-	if x.job.RespondBy.IsZero() {
-		return time.Time{}
-	}
-	return time.Now().Add(x.gateway.Clock.Until(x.job.RespondBy))
-}
--- a/internal/core/gateway/servers.go
+++ b/internal/core/gateway/servers.go
@@ -120,8 +120,9 @@
 	return nil
 }
 
-// shutdown closes the listeners, waits for open requests until ctx is done, then aborts them.
-func (s *servers) shutdown(ctx context.Context) {
+// shutdown closes the listeners and waits for open requests until ctx is done. It then has them expire, which leaves
+// them a short time to answer, and aborts those that are left.
+func (s *servers) shutdown(ctx context.Context, expire func()) {
 	s.mu.Lock()
 	s.closed = true
 	running, listeners, callers := s.httpServers, s.listeners, s.callerListener
@@ -135,7 +136,13 @@
 	var wait group.Group
 	for _, server := range running {
 		wait.Go(func(context.Context) {
-			if err := server.Shutdown(ctx); err != nil {
+			if server.Shutdown(ctx) == nil {
+				return
+			}
+			expire()
+			answered, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+			defer cancel()
+			if server.Shutdown(answered) != nil {
 				_ = server.Close()
 			}
 		})
--- a/internal/core/gateway/unread.go
+++ b/internal/core/gateway/unread.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"graniteknot.org/go/internal/core/forward"
 	"graniteknot.org/go/internal/core/membudget"
 	"graniteknot.org/go/internal/core/stall"
 )
@@ -43,14 +44,14 @@
 // the reader reports that.
 func (x *exchange) bufferBody(r io.Reader, limit int, control *http.ResponseController) error {
 	x.body.Budget = &x.gateway.buffered
+	read := x.gateway.bodyReads.begin(control, x.readBy)
+	defer read.end()
 	stated := x.r.ContentLength
 	if limit > 0 && stated > int64(limit) {
 		stated = -1
 	}
-	deadline := x.readDeadline()
-	_ = control.SetReadDeadline(deadline)
 	if x.gateway.servers.unreadLimit > 0 && (stated < 0 || stated > membudget.Small) {
-		r = &steadyReader{reader: r, control: control, limit: unreadLimit, deadline: deadline}
+		r = &steadyReader{reader: r, read: read, limit: unreadLimit}
 	}
 	return x.body.ReadAll(r, stated)
 }
@@ -58,21 +59,14 @@
 // steadyReader fails where a caller sends nothing of its body for a time: the memory for the whole
 // body is reserved until it was read.
 type steadyReader struct {
-	reader  io.Reader
-	control *http.ResponseController
-	limit   time.Duration
-	// deadline is that of the request; zero for none.
-	deadline time.Time
+	reader io.Reader
+	read   *bodyRead
+	limit  time.Duration
 }
 
 // Read implements io.Reader.
 func (s *steadyReader) Read(b []byte) (int, error) {
-	by := time.Now().Add(s.limit)
-	if !s.deadline.IsZero() && s.deadline.Before(by) {
-		by = s.deadline
-	}
-	// A connection without deadlines is bounded by its request's.
-	_ = s.control.SetReadDeadline(by)
+	s.read.setDeadline(time.Now().Add(s.limit))
 	return s.reader.Read(b)
 }
 
@@ -83,3 +77,30 @@
 	_ = control.SetReadDeadline(time.Now().Add(unreadLimit))
 	x.refuse(http.StatusServiceUnavailable, "memory", retryAfterUnavailable)
 }
+
+// refuseForStop refuses a request whose body is incomplete at a time from which on it would not be forwarded.
+func (x *exchange) refuseForStop(control *http.ResponseController) {
+	x.body.Release()
+	_ = control.SetReadDeadline(time.Now().Add(unreadLimit))
+	x.refuse(http.StatusServiceUnavailable, string(forward.ReasonStopping), 0)
+}
+
+// stopsFirst reports whether the request would not be forwarded any more, since the gateway is shutting down and not
+// since its own time is over.
+func (x *exchange) stopsFirst() bool {
+	by := x.gateway.forwardBy(x.job.RespondBy)
+	return !by.IsZero() && !by.Equal(x.job.RespondBy) && !x.gateway.Clock.Exact().Before(by)
+}
+
+// readBy returns until when the request's body is of use, by the monotonic clock that connections use; zero means
+// that there is no such time.
+func (x *exchange) readBy() time.Time {
+	by := x.job.RespondBy
+	if forwardBy := x.gateway.forwardBy(by); !forwardBy.IsZero() {
+		by = forwardBy
+	}
+	if by.IsZero() {
+		return time.Time{}
+	}
+	return time.Now().Add(x.gateway.Clock.Until(by))
+}
