gateway: responses of a stopping gateway say Connection: close

What callers saw: a gateway that was stopping gave responses of replicas without Connection: close, so that callers sent their next requests to it until it closed their connections.

Cause: the field was set when a request arrived, and dropped with the replica's own connection fields as its response was passed on.

Change: it is set when a head is written, after the replica's fields; so also on responses to requests that were in progress as the stop began.

--- a/internal/core/gateway/serve.go
+++ b/internal/core/gateway/serve.go
@@ -32,9 +32,6 @@
 // serve handles a caller's request.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := g.Clock.Now()
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	tree, age := g.awaitTree(r.Context())
 	request, err := g.Translator.Request(r, arrived)
 	x := &exchange{gateway: g, w: w, r: r, request: request, versionAge: age}
@@ -170,9 +167,7 @@
 
 // writeFailure writes a failure response of the product's own.
 func (x *exchange) writeFailure(status int, delay time.Duration) {
-	if x.gateway.leaving.Load() {
-		x.w.Header().Set("Connection", "close")
-	}
+	x.closeIfLeaving()
 	x.gateway.Translator.Refusal(x.w.Header(), x.request.ID, delay)
 	x.w.WriteHeader(status)
 }
--- a/internal/core/gateway/sink.go
+++ b/internal/core/gateway/sink.go
@@ -23,10 +23,18 @@
 func (x *exchange) writeHead(status int, h http.Header) {
 	x.responseComplete = unframed.Guard(x.r)
 	x.gateway.Translator.Answer(h, x.w.Header())
+	x.closeIfLeaving()
 	x.suppressContentType()
 	x.w.WriteHeader(status)
 }
 
+// closeIfLeaving tells the caller to send its next request on a connection to another gateway.
+func (x *exchange) closeIfLeaving() {
+	if x.gateway.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // suppressContentType keeps net/http from guessing a content type that the replica did not send.
 func (x *exchange) suppressContentType() {
 	if _, given := x.w.Header()["Content-Type"]; !given {
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -103,6 +103,7 @@
 
 	// status is that of the response; 0 without one, which came at answered.
 	status   int
+	closes   bool
 	answered time.Duration
 	err      error
 }
@@ -160,6 +161,7 @@
 	if c.err = err; err != nil {
 		return
 	}
+	c.closes = response.Close
 	_, c.err = io.Copy(io.Discard, response.Body)
 	if _ = response.Body.Close(); c.err == nil {
 		c.status = response.StatusCode
@@ -273,5 +275,7 @@
 		t.Errorf("refused late: %v", c)
 	case !ran && c.status == http.StatusServiceUnavailable && !expired && (certain || c.end < lateFrom-margin):
 		t.Errorf("could have been served: %v", c)
+	case c.status != 0 && c.answered > margin && !c.closes:
+		t.Errorf("not told to close its connection: %v", c)
 	}
 }
