cmd: a planned stop goes by the reloaded stop bound

What callers saw: after a reload that raised stop_bound, a planned stop cut off all open requests as the old bound passed, a second later.

Cause: the process bounded its stop by the settings of its start, the gateway by those in force. What the gateway still forwards rests on the latter.

Change: the settings file's watch keeps the bound in force, and the stop goes by that.

--- a/cmd/graniteknot/cmd/direct.go
+++ b/cmd/graniteknot/cmd/direct.go
@@ -73,9 +73,9 @@
 	if err := p.Start(ctx); err != nil {
 		return err
 	}
-	watched := settingsFile{path: file, role: role, process: p, watch: watch}
+	watched := settingsFile{path: file, role: role, process: p, watch: watch, stop: config.Stop}
 	watched.until(signals, hangups)
-	ctx, cancel := context.WithTimeout(ctx, config.Stop+stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, watched.stop+stopMargin)
 	defer cancel()
 	return p.Stop(ctx)
 }
--- a/cmd/graniteknot/cmd/settings_file.go
+++ b/cmd/graniteknot/cmd/settings_file.go
@@ -22,6 +22,8 @@
 	role    directconf.Role
 	process *directapp.Process
 	watch   *wholefile.Watch
+	// stop bounds a stop in the settings in force.
+	stop time.Duration
 	// again is when the file is read again, to see whether it is still being written; nil if no
 	// reload is due.
 	again <-chan time.Time
@@ -89,4 +91,5 @@
 		return
 	}
 	s.process.Reload(config)
+	s.stop = config.Stop
 }
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -255,6 +255,50 @@
 	t.Logf("seed %d: %v", seed, outcomes)
 }
 
+// TestStopGoesByTheReloadedBound guards against a stop that goes by the bound of the process's start and cuts requests off.
+func TestStopGoesByTheReloadedBound(t *testing.T) {
+	const first, work = 3 * time.Second, 5 * time.Second
+	store, _ := startWorking(t, 1)
+	g := startGateway(t, 1, store, first)
+	g.awaitServing(t)
+	g.write(t, stopBound)
+	if err := g.command.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	g.awaitLine(t, `"msg":"reloaded"`)
+	c := &stopCall{id: "long", route: "once", head: 100 * time.Millisecond, end: 100 * time.Millisecond, work: work, wait: 20 * time.Second}
+	var caller group.Group
+	began := time.Now()
+	caller.Go(func(ctx context.Context) { c.run(ctx, g.requests, began) })
+	time.Sleep(2 * c.end)
+	if err := g.command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := g.command.Wait(); err != nil {
+		t.Errorf("the gateway ended with %v", err)
+	}
+	caller.Wait()
+	if c.status != http.StatusOK {
+		t.Errorf("not served: %v", c)
+	}
+}
+
+// awaitLine waits until the gateway's log has a line with a text.
+func (g *gatewayProcess) awaitLine(t *testing.T, text string) {
+	t.Helper()
+	for range 400 {
+		log, err := os.ReadFile(g.log.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(string(log), text) {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatalf("never logged %s", text)
+}
+
 // check checks what a caller got.
 func (c *stopCall) check(t *testing.T, ran bool) {
 	t.Helper()
