--- /dev/null
+++ b/internal/soak/odd_records_test.go
@@ -0,0 +1,155 @@
+package soak_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	graniteknot "graniteknot.org/go"
+	"graniteknot.org/go/platform/platformtest"
+)
+
+const (
+	// maxRecord is the largest record that the store takes.
+	maxRecord = 256 << 10
+	// smallestMemory is that of the smallest gateway.
+	smallestMemory = 136 << 20
+)
+
+// oddRecords returns records that another writer may have put beside those of replicas.
+func oddRecords() map[string][]byte {
+	nested := func(open, end string) []byte {
+		n := maxRecord / (len(open) + len(end))
+		return []byte(strings.Repeat(open, n) + strings.Repeat(end, n))
+	}
+	sound := string(platformtest.Record("s", "127.0.0.1:1", false))
+	change := func(from, to string) []byte { return []byte(strings.Replace(sound, from, to, 1)) }
+	records := map[string][]byte{
+		"lists":           nested("[", ""),
+		"closed lists":    nested("[", "]"),
+		"objects":         nested(`{"a":`, ""),
+		"closed objects":  append(nested(`{"a":`, ""), nested("", "}")...)[:maxRecord],
+		"nested address":  []byte(`{"address":` + string(nested("[", "]")[12:maxRecord-12]) + `}`),
+		"nested group":    []byte(`{"group":` + string(nested(`{"group":`, "}")[:maxRecord-32]) + `}`),
+		"large slots":     change(`"capacity_slots":12`, `"capacity_slots":1e400`),
+		"larger slots":    change(`"capacity_slots":12`, `"capacity_slots":123456789012345678901234567890`),
+		"large warm-up":   change(`"warmup_left_ms":0`, `"warmup_left_ms":1e300`),
+		"long number":     change(`"warmup_left_ms":0`, `"warmup_left_ms":`+strings.Repeat("9", 100<<10)),
+		"large sequence":  change(`"sequence":`, `"sequence":99999999999999999999`),
+		"port 65536":      change("127.0.0.1:1", "127.0.0.1:65536"),
+		"port 4294967297": change("127.0.0.1:1", "127.0.0.1:4294967297"),
+		"port 0":          change("127.0.0.1:1", "127.0.0.1:0"),
+		"port -1":         change("127.0.0.1:1", "127.0.0.1:-1"),
+		"long port":       change("127.0.0.1:1", "127.0.0.1:"+strings.Repeat("1", 100<<10)),
+	}
+	return records
+}
+
+// putOdd puts the odd records into all topics that gateways follow.
+func putOdd(store *platformtest.Store, round int) {
+	for name, value := range oddRecords() {
+		for _, topic := range []graniteknot.Topic{graniteknot.TopicReplicas, graniteknot.TopicMembers, graniteknot.TopicQuarantine, graniteknot.TopicSettings} {
+			store.Records.Put(topic, fmt.Sprint("odd ", name, round), value)
+		}
+	}
+}
+
+// peakMemory returns the most memory that a process has held, in bytes.
+func peakMemory(t *testing.T, pid int) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("no VmHWM")
+	return 0
+}
+
+// TestOddRecordsEndNoProcess guards against records of other writers that end the processes that read them, or that these stop following the others for.
+func TestOddRecordsEndNoProcess(t *testing.T) {
+	const rounds = 3
+	for i, g := range followThrough(t, func(store *platformtest.Store) {
+		for round := range rounds {
+			putOdd(store, round)
+			time.Sleep(time.Second)
+		}
+	}) {
+		held := peakMemory(t, g.command.Process.Pid)
+		t.Logf("gateway %d held %d MB", i, held>>20)
+		if held > smallestMemory {
+			t.Errorf("gateway %d held %d MB", i, held>>20)
+		}
+	}
+}
+
+// TestHugeNestedRecordEndsNoProcess guards against a record whose nesting overflows the stack of the processes that read it. No store should take it.
+func TestHugeNestedRecordEndsNoProcess(t *testing.T) {
+	followThrough(t, func(store *platformtest.Store) {
+		store.Records.Put(graniteknot.TopicReplicas, "huge", []byte(strings.Repeat("[", 16<<20)))
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// followThrough checks that a gateway that runs while records are put, and one that starts with them there, serve and follow the replicas' records, and returns both.
+func followThrough(t *testing.T, put func(*platformtest.Store)) []*gatewayProcess {
+	t.Helper()
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	first := newWorking(t, store, "i-first")
+	store.Records.Put(graniteknot.TopicSettings, "config", platformtest.Config(1, "h.example", "s", []string{"k1"}))
+	gateways := []*gatewayProcess{startGateway(t, 2, store.Address(), stopBound)}
+	gateways[0].awaitServing(t)
+	put(store)
+	gateways = append(gateways, startGateway(t, 3, store.Address(), stopBound))
+	for _, g := range gateways {
+		g.awaitServing(t)
+	}
+	second := newWorking(t, store, "i-second")
+	store.Records.Put(graniteknot.TopicReplicas, first.ID, platformtest.Record("s", first.Address(), true))
+	for i, g := range gateways {
+		g.awaitServedBy(t, second, fmt.Sprint("after-", i))
+	}
+	return gateways
+}
+
+// awaitServedBy waits until a replica serves a gateway's request.
+func (g *gatewayProcess) awaitServedBy(t *testing.T, r *platformtest.Replica, id string) {
+	t.Helper()
+	for range 100 {
+		c := &stopCall{id: id, route: "repeat", wait: time.Second}
+		c.run(t.Context(), g.requests, time.Now())
+		for _, x := range r.Ran() {
+			if platformtest.RequestID(x) == id && c.status == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s: the new replica never served", id)
+}
+
+// newWorking starts a replica that works and registers it.
+func newWorking(t *testing.T, store *platformtest.Store, id string) *platformtest.Replica {
+	t.Helper()
+	r, err := platformtest.NewReplica(id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	r.Always(working)
+	store.Records.Put(graniteknot.TopicReplicas, id, platformtest.Record("s", r.Address(), false))
+	return r
+}
