load: address lookups refuse responses that are no HTTP

The load tool's calls were checked, its lookups of addresses were not: a head whose length field has a blank in its name was read to the end of its connection. Both go through one function now. The tests of the load tool pass; what they refuse is tested in package strict.

--- a/internal/core/load/client.go
+++ b/internal/core/load/client.go
@@ -115,6 +115,15 @@
 	if kind == CallerHTTP10 {
 		return (&strict.Transport{Base: http10Transport{}}).RoundTrip(request)
 	}
+	response, err := c.do(request)
+	if err == nil && kind == CallerSlow {
+		response.Body = &slowBody{ReadCloser: response.Body}
+	}
+	return response, err
+}
+
+// do sends a request and refuses a response that is no HTTP.
+func (c *Caller) do(request *http.Request) (*http.Response, error) {
 	response, err := c.HTTP.Do(request)
 	if err != nil {
 		return nil, err
@@ -122,9 +131,6 @@
 	if err := strict.Check(response); err != nil {
 		return nil, errors.Join(err, response.Body.Close())
 	}
-	if kind == CallerSlow {
-		response.Body = &slowBody{ReadCloser: response.Body}
-	}
 	return response, nil
 }
 
@@ -184,7 +190,7 @@
 		return nil, err
 	}
 	request.Header.Set("Authorization", "Bearer "+c.Key)
-	response, err := c.HTTP.Do(request)
+	response, err := c.do(request)
 	if err != nil {
 		return nil, err
 	}
