--- a/internal/core/forward/badhead_test.go
+++ b/internal/core/forward/badhead_test.go
@@ -14,13 +14,6 @@
 	"graniteknot.org/go/platform/platformtest"
 )
 
-const (
-	// ownHeaders mark a response as the replica's own, to the request that it got.
-	ownHeaders = "X-Graniteknot-Attempt-Id: %s\r\n" + platformtest.Seal + "\r\n"
-	// staleHeaders are those of a response to another request.
-	staleHeaders = "X-Graniteknot-Attempt-Id: 0000000000000000\r\n" + platformtest.Seal + "\r\n"
-)
-
 // allKinds are the kinds of routes.
 var allKinds = map[string]catalog.RouteKind{"once": catalog.KindOnce, "repeatable": catalog.KindRepeatable, "stream": catalog.KindStream}
 
@@ -56,20 +49,20 @@
 	for _, status := range []string{"000", "001", "012", "099", "101", "600", "999"} {
 		t.Run(status, func(t *testing.T) {
 			t.Parallel()
-			refusesResponse(t, "HTTP/1.1 "+status+" X\r\n"+ownHeaders+"Content-Length: 4\r\n\r\nhalf")
+			refusesResponse(t, "HTTP/1.1 "+status+" X\r\n"+platformtest.OwnHeaders+"Content-Length: 4\r\n\r\nhalf")
 		})
 		t.Run(status+" without a body", func(t *testing.T) {
 			t.Parallel()
-			refusesResponse(t, "HTTP/1.1 "+status+" X\r\n"+ownHeaders+"\r\n")
+			refusesResponse(t, "HTTP/1.1 "+status+" X\r\n"+platformtest.OwnHeaders+"\r\n")
 		})
 	}
 	t.Run("before a sound response", func(t *testing.T) {
 		t.Parallel()
-		refusesResponse(t, "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Length: 4\r\n\r\nhalf")
+		refusesResponse(t, "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK\r\n"+platformtest.OwnHeaders+"Content-Length: 4\r\n\r\nhalf")
 	})
 	t.Run("of a stale response", func(t *testing.T) {
 		t.Parallel()
-		refusesResponse(t, "HTTP/1.1 999 X\r\n"+staleHeaders+"Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Length: 4\r\n\r\nhalf")
+		refusesResponse(t, "HTTP/1.1 999 X\r\n"+platformtest.StaleHeaders+"Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"+platformtest.OwnHeaders+"Content-Length: 4\r\n\r\nhalf")
 	})
 }
 
@@ -110,25 +103,25 @@
 	for name, c := range badFields {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			refusesResponse(t, "HTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Type: text/plain\r\n"+c.lines+"\r\n"+c.body)
+			refusesResponse(t, "HTTP/1.1 200 OK\r\n"+platformtest.OwnHeaders+"Content-Type: text/plain\r\n"+c.lines+"\r\n"+c.body)
 		})
 	}
-	sound := "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 4\r\n\r\nhalf"
+	sound := "HTTP/1.1 200 OK\r\n" + platformtest.OwnHeaders + "Content-Length: 4\r\n\r\nhalf"
 	t.Run("interim response", func(t *testing.T) {
 		t.Parallel()
 		refusesResponse(t, "HTTP/1.1 103 Early Hints\r\nContent-Length : 4\r\n\r\n"+sound)
 	})
 	t.Run("stale response", func(t *testing.T) {
 		t.Parallel()
-		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+staleHeaders+"X A: b\r\nContent-Length: 0\r\n\r\n"+sound)
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+platformtest.StaleHeaders+"X A: b\r\nContent-Length: 0\r\n\r\n"+sound)
 	})
 	t.Run("trailer of a stale response", func(t *testing.T) {
 		t.Parallel()
-		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+staleHeaders+"Transfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n"+sound)
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n"+platformtest.StaleHeaders+"Transfer-Encoding: chunked\r\n\r\n0\r\nX A: b\r\n\r\n"+sound)
 	})
 	t.Run("first line with a blank", func(t *testing.T) {
 		t.Parallel()
-		refusesResponse(t, "HTTP/1.1 200 OK\r\n X-A: b\r\n"+ownHeaders+"Content-Length: 4\r\n\r\nhalf")
+		refusesResponse(t, "HTTP/1.1 200 OK\r\n X-A: b\r\n"+platformtest.OwnHeaders+"Content-Length: 4\r\n\r\nhalf")
 	})
 }
 
@@ -143,7 +136,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			refusesResponse(t, "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n"+ownHeaders+lines+"\r\n"+chunks)
+			refusesResponse(t, "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n"+platformtest.OwnHeaders+lines+"\r\n"+chunks)
 		})
 	}
 }
@@ -160,7 +153,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r := newFixture(t, catalog.KindStream, platformtest.Raw("HTTP/1.1 200 OK\r\n"+ownHeaders+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"+c.line+"\r\n"+chunk+c.end))
+			r := newFixture(t, catalog.KindStream, platformtest.Raw("HTTP/1.1 200 OK\r\n"+platformtest.OwnHeaders+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"+c.line+"\r\n"+chunk+c.end))
 			began := time.Now()
 			if result := r.do(context.Background()); result.Outcome == graniteknot.OutcomeAnswered || result.ResponseStarted != (c.line == "") {
 				t.Errorf("%+v with %q", result, r.sink.body.String())
@@ -174,7 +167,7 @@
 
 // TestSoundHeadsAreAccepted guards against sound responses that are taken for broken ones.
 func TestSoundHeadsAreAccepted(t *testing.T) {
-	sound := "HTTP/1.1 200 OK\r\n" + ownHeaders + "Content-Length: 5\r\n\r\nsound"
+	sound := "HTTP/1.1 200 OK\r\n" + platformtest.OwnHeaders + "Content-Length: 5\r\n\r\nsound"
 	for name, c := range map[string]struct {
 		response string
 		status   int
@@ -183,13 +176,13 @@
 	}{
 		"plain":            {response: sound, status: http.StatusOK},
 		"interim":          {response: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + sound, status: http.StatusOK},
-		"stale":            {response: "HTTP/1.1 200 OK\r\n" + staleHeaders + "Content-Length: 5\r\n\r\nstale" + sound, status: http.StatusOK},
+		"stale":            {response: "HTTP/1.1 200 OK\r\n" + platformtest.StaleHeaders + "Content-Length: 5\r\n\r\nstale" + sound, status: http.StatusOK},
 		"unknown status":   {response: strings.Replace(sound, "200 OK", "299 X", 1), status: 299},
 		"highest status":   {response: strings.Replace(sound, "200 OK", "599 X", 1), status: 599},
 		"any token":        {response: strings.Replace(sound, "Content", "!#$%&'*+-.^_`|~9aZ: x\r\nContent", 1), status: http.StatusOK},
-		"HTTP/1.0, body":   {response: "HTTP/1.0 200 OK\r\n" + ownHeaders + "Content-Length: 27\r\n\r\n\ntransfer-encoding: chunked", status: http.StatusOK, body: "\ntransfer-encoding: chunked"},
+		"HTTP/1.0, body":   {response: "HTTP/1.0 200 OK\r\n" + platformtest.OwnHeaders + "Content-Length: 27\r\n\r\n\ntransfer-encoding: chunked", status: http.StatusOK, body: "\ntransfer-encoding: chunked"},
 		"HTTP/1.0":         {response: strings.Replace(sound, "HTTP/1.1", "HTTP/1.0", 1), status: http.StatusOK},
-		"chunks, trailers": {response: "HTTP/1.1 200 OK\r\n" + ownHeaders + "Transfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-A: b c\r\n\r\n", status: http.StatusOK},
+		"chunks, trailers": {response: "HTTP/1.1 200 OK\r\n" + platformtest.OwnHeaders + "Transfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\nX-A: b c\r\n\r\n", status: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/odd_records_test.go
+++ b/internal/soak/odd_records_test.go
@@ -13,45 +13,12 @@
 	"graniteknot.org/go/platform/platformtest"
 )
 
-const (
-	// maxRecord is the largest record that the store takes.
-	maxRecord = 256 << 10
-	// smallestMemory is that of the smallest gateway.
-	smallestMemory = 136 << 20
-)
-
-// oddRecords returns records that another writer may have put beside those of replicas.
-func oddRecords() map[string][]byte {
-	nested := func(open, end string) []byte {
-		n := maxRecord / (len(open) + len(end))
-		return []byte(strings.Repeat(open, n) + strings.Repeat(end, n))
-	}
-	sound := string(platformtest.Record("s", "127.0.0.1:1", false))
-	change := func(from, to string) []byte { return []byte(strings.Replace(sound, from, to, 1)) }
-	records := map[string][]byte{
-		"lists":           nested("[", ""),
-		"closed lists":    nested("[", "]"),
-		"objects":         nested(`{"a":`, ""),
-		"closed objects":  append(nested(`{"a":`, ""), nested("", "}")...)[:maxRecord],
-		"nested address":  []byte(`{"address":` + string(nested("[", "]")[12:maxRecord-12]) + `}`),
-		"nested group":    []byte(`{"group":` + string(nested(`{"group":`, "}")[:maxRecord-32]) + `}`),
-		"large slots":     change(`"capacity_slots":12`, `"capacity_slots":1e400`),
-		"larger slots":    change(`"capacity_slots":12`, `"capacity_slots":123456789012345678901234567890`),
-		"large warm-up":   change(`"warmup_left_ms":0`, `"warmup_left_ms":1e300`),
-		"long number":     change(`"warmup_left_ms":0`, `"warmup_left_ms":`+strings.Repeat("9", 100<<10)),
-		"large sequence":  change(`"sequence":`, `"sequence":99999999999999999999`),
-		"port 65536":      change("127.0.0.1:1", "127.0.0.1:65536"),
-		"port 4294967297": change("127.0.0.1:1", "127.0.0.1:4294967297"),
-		"port 0":          change("127.0.0.1:1", "127.0.0.1:0"),
-		"port -1":         change("127.0.0.1:1", "127.0.0.1:-1"),
-		"long port":       change("127.0.0.1:1", "127.0.0.1:"+strings.Repeat("1", 100<<10)),
-	}
-	return records
-}
+// smallestMemory is that of the smallest gateway.
+const smallestMemory = 136 << 20
 
 // putOdd puts the odd records into all topics that gateways follow.
 func putOdd(store *platformtest.Store, round int) {
-	for name, value := range oddRecords() {
+	for name, value := range platformtest.OddRecords("s") {
 		for _, topic := range []graniteknot.Topic{graniteknot.TopicReplicas, graniteknot.TopicMembers, graniteknot.TopicQuarantine, graniteknot.TopicSettings} {
 			store.Records.Put(topic, fmt.Sprint("odd ", name, round), value)
 		}
