--- a/internal/soak/odd_records_test.go
+++ b/internal/soak/odd_records_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -25,26 +22,6 @@
 	}
 }
 
-// peakMemory returns the most memory that a process has held, in bytes.
-func peakMemory(t *testing.T, pid int) int64 {
-	t.Helper()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kilobytes, err := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kilobytes << 10
-		}
-	}
-	t.Fatal("no VmHWM")
-	return 0
-}
-
 // TestOddRecordsEndNoProcess guards against records of other writers that end the processes that read them, or that these stop following the others for.
 func TestOddRecordsEndNoProcess(t *testing.T) {
 	const rounds = 3
@@ -91,32 +68,3 @@
 	}
 	return gateways
 }
-
-// awaitServedBy waits until a replica serves a gateway's request.
-func (g *gatewayProcess) awaitServedBy(t *testing.T, r *platformtest.Replica, id string) {
-	t.Helper()
-	for range 100 {
-		c := &stopCall{id: id, route: "repeat", wait: time.Second}
-		c.run(t.Context(), g.requests, time.Now())
-		for _, x := range r.Ran() {
-			if platformtest.RequestID(x) == id && c.status == http.StatusOK {
-				return
-			}
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	t.Fatalf("%s: the new replica never served", id)
-}
-
-// newWorking starts a replica that works and registers it.
-func newWorking(t *testing.T, store *platformtest.Store, id string) *platformtest.Replica {
-	t.Helper()
-	r, err := platformtest.NewReplica(id)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(r.Close)
-	r.Always(working)
-	store.Records.Put(graniteknot.TopicReplicas, id, platformtest.Record("s", r.Address(), false))
-	return r
-}
