soak: the reload's test reads no time that its caller writes

TestStopGoesByTheReloadedBound failed in the race detector, in each of five runs, since: callers note when they send, and the test read that field beside its caller. It uses the constant now; its checks are as before.

--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -70,7 +70,7 @@
 
 // TestStopGoesByTheReloadedBound guards against a stop that goes by the bound of the process's start and cuts requests off.
 func TestStopGoesByTheReloadedBound(t *testing.T) {
-	const first, work = 3 * time.Second, 5 * time.Second
+	const first, work, sent = 3 * time.Second, 5 * time.Second, 100 * time.Millisecond
 	store, _ := startWorking(t, 1)
 	g := startGateway(t, 1, store, first)
 	g.awaitServing(t)
@@ -79,11 +79,11 @@
 		t.Fatal(err)
 	}
 	g.awaitLine(t, `"msg":"reloaded"`)
-	c := &stopCall{id: "long", route: "once", head: 100 * time.Millisecond, end: 100 * time.Millisecond, work: work, wait: 20 * time.Second}
+	c := &stopCall{id: "long", route: "once", head: sent, end: sent, work: work, wait: 20 * time.Second}
 	var caller group.Group
 	began := time.Now()
 	caller.Go(func(ctx context.Context) { c.run(ctx, g.requests, began) })
-	time.Sleep(2 * c.end)
+	time.Sleep(2 * sent)
 	if err := g.command.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
